--- a/barleybay/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""barleybay: the decisions of a workload manager in front of analytic engines."""
--- a/barleybay/rules.py
+++ b/decklb/rules.py
@@ -1,4 +1,4 @@
-"""All decisions of barleybay. Types, events and actions: barleybay/interface.py. Why: docs/design.md.
+"""All decisions of decklb. Types, events and actions: decklb/interface.py. Why: docs/design.md.
 
 A request waits in its tenant's queue, oldest first; weighted round robin releases it to the less loaded of
 two engines in its table group's hash order, within a bound on threads; a PI loop retunes the weights.
@@ -8,9 +8,9 @@
 
 import random
 
-from barleybay import interface as api
-from barleybay.interface import Effect, Outcome, Settings
-from barleybay.state import LONG_AGO, Attempt, Engine, Fleet, Keys, Request, Tenant, Usual, Window, Word
+from decklb import interface as api
+from decklb.interface import Effect, Outcome, Settings
+from decklb.state import LONG_AGO, Attempt, Engine, Fleet, Keys, Request, Tenant, Usual, Window, Word
 
 PERIOD = 5000.0  # ms between retunes of the weights (design page)
 GAIN_P, GAIN_I = 0.5, 0.25  # weight per unit of relative error: last period, and the memory of those before
--- a/barleybay/state.py
+++ b/decklb/state.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field, replace
 from hashlib import blake2b
 
-from barleybay.interface import Arrival, ClassSpec, Entry, Outcome, Phase, TenantSpec
+from decklb.interface import Arrival, ClassSpec, Entry, Outcome, Phase, TenantSpec
 
 NEVER_RAN = (Outcome.FULL, Outcome.NOCONN, Outcome.NOP)
 DOUBTFUL = (Outcome.LATE, Outcome.RST, Outcome.CXL)
--- a/barleybay/wirehost.py
+++ b/decklb/wirehost.py
@@ -9,8 +9,8 @@
 from collections.abc import Iterable
 from typing import Any, TextIO
 
-from barleybay import interface as api
-from barleybay.rules import Gateway
+from decklb import interface as api
+from decklb.rules import Gateway
 
 Json = dict[str, Any]
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,11 +8,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-import barleybay.rules as rules
-from barleybay import interface as api
-from barleybay.interface import Effect, Outcome, Phase
-from barleybay.rules import Gateway
-from barleybay.state import Word
+import decklb.rules as rules
+from decklb import interface as api
+from decklb.interface import Effect, Outcome, Phase
+from decklb.rules import Gateway
+from decklb.state import Word
 
 SAFE = api.ClassSpec("safe", aim=1000.0, deadline=5000.0, effect=Effect.SAFE)
 KEYED = api.ClassSpec("keyed", aim=1000.0, deadline=9000.0, effect=Effect.KEYED, memory_span=2000.0)
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -22,7 +22,7 @@
     for i, batch in enumerate(batches):
         lines += [{"msg": "clock", "clock": 10.0 * i}, *batch, {"msg": "go"}]
     text = raw if raw is not None else "".join(json.dumps(line) + "\n" for line in lines)
-    return subprocess.run([sys.executable, "-m", "barleybay.wirehost"], input=text, cwd=ROOT,
+    return subprocess.run([sys.executable, "-m", "decklb.wirehost"], input=text, cwd=ROOT,
                           capture_output=True, text=True, timeout=60)
 
 
@@ -62,7 +62,7 @@
 
 
 def test_an_exception_in_the_decisions_is_reported(monkeypatch):
-    from barleybay import wirehost
+    from decklb import wirehost
 
     def broken(self, now, events):
         raise RuntimeError("broken")
@@ -74,7 +74,7 @@
 
 
 def test_probes_go_out_and_their_answers_come_in():
-    from barleybay import wirehost
+    from decklb import wirehost
 
     settings = BOOT[0]["setup"] | {"limits": {"probes": True}}
     settings["telemetry"] = {"how": "pull", "fields": ["rif"]}
