--- /dev/null
+++ b/decklb/config.py
@@ -0,0 +1,78 @@
+"""The configuration file, decoded once into the few values that the program uses."""
+
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import ujson
+
+from decklb.interface import Settings
+from decklb.settings import settings_from
+
+SOCKETS = 1024  # where no limit is told
+SPARE = 16  # descriptors for the log, the reactor, the directory and the listening sockets
+
+Address = tuple[str, int]
+
+
+class ConfigError(Exception):
+    """The configuration can't be used; the message says why."""
+
+
+@dataclass(slots=True)
+class Config:
+    """What the program is told at its start."""
+
+    name: str
+    listen: Address
+    seed: int
+    sockets: int
+    settings: Settings
+    limits: dict[str, Any]  # of the settings: connection limits, which decide nothing
+    resolver: Address | None
+    index: int
+    updates: list[dict[str, Any]]
+
+    @property
+    def most_clients(self) -> int:
+        """A third of the descriptors, less what others need."""
+        return max(1, (self.sockets - SPARE) // 3)
+
+
+def address(text: str) -> Address:
+    """`host:port`."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not int(port) < 65536:
+        raise ConfigError(f"no address: {text!r}")
+    return host, int(port)
+
+
+def load(path: str | None = None) -> Config:
+    """Read the file that LB_CONFIG names; LB_NAME and LB_LISTEN stand in for what it lacks."""
+    where = path or os.environ.get("LB_CONFIG")
+    if not where:
+        raise ConfigError("LB_CONFIG names no configuration file")
+    try:
+        raw = ujson.loads(Path(where).read_text())
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{where}: {error}") from error
+    return from_raw(raw)
+
+
+def from_raw(raw: dict[str, Any]) -> Config:
+    """Check and translate."""
+    try:
+        known = raw.get("known") or {}
+        limits = raw.get("limits") or {}
+        return Config(
+            name=raw.get("name") or os.environ.get("LB_NAME", "decklb"),
+            listen=address(raw.get("listen") or os.environ.get("LB_LISTEN", "")),
+            seed=int(raw.get("seed") or "0", 16), sockets=int(limits.get("sockets") or SOCKETS),
+            settings=settings_from(raw["settings"]), limits=dict(raw["settings"].get("limits") or {}),
+            resolver=address(raw["resolver"]) if raw.get("resolver") else None,
+            index=int(known.get("index", 0)), updates=list(known.get("updates") or []))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise ConfigError(f"configuration can't be used: {error!r}") from error
--- /dev/null
+++ b/decklb/core/dispatcher.py
@@ -0,0 +1,240 @@
+"""The dispatcher: one Gateway, its clock and timers, the live requests and their attempts.
+
+Events are batched by the settings' tick, as the decision module expects, and its actions are carried out
+through the two ports. Whatever the module, a front or an engine does, each request gets one final answer,
+at the latest when its time is over, and has no two attempts out at once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from loguru import logger
+
+from decklb import interface as api
+from decklb.core.ports import AnswerSink, Clock, EngineClient, Timer, Work
+from decklb.interface import Outcome
+from decklb.rules import Gateway
+
+# A budget runs from when the client sent its request, a little before it is read here, and the last answer
+# needs its way back: the module is told of this much less.
+EARLY = 15.0
+# The backstop answers for a module that has not. It is past what the module was told, so that its own word
+# comes first, and within the 20 ms (and 50 on sockets) by which a final answer may be late.
+BACKSTOP = 10.0
+
+
+class Request:
+    """A request from its arrival until its final answer."""
+
+    __slots__ = ("ident", "work", "sink", "deadline", "backstop", "attempts", "answered")
+
+    def __init__(self, ident: str, work: Work, sink: AnswerSink, deadline: float) -> None:
+        self.ident, self.work, self.sink, self.deadline = ident, work, sink, deadline
+        self.backstop: Timer | None = None
+        self.attempts: list[Attempt] = []
+        self.answered = False
+
+    def out(self) -> bool:
+        """Whether an attempt lacks its end."""
+        return any(not a.ended for a in self.attempts)
+
+
+class Attempt:
+    """One send of a request to one engine, named by its directory id."""
+
+    __slots__ = ("request", "leg", "engine", "started", "deadline", "timer", "given_up", "ended", "handle",
+                 "_owner")
+
+    def __init__(self, owner: Dispatcher, request: Request, engine: str, started: float, wait: float) -> None:
+        self.request, self.engine, self.started, self._owner = request, engine, started, owner
+        self.leg = len(request.attempts)
+        self.deadline = started + wait
+        self.timer: Timer | None = None
+        self.given_up = self.ended = False
+        self.handle: object = None  # the engine client's own
+
+    def end(self, outcome: Outcome, result: bytes = b"") -> None:
+        """The engine client's word on how it ended. Late words are ignored."""
+        self._owner.attempt_ended(self, outcome, result)
+
+    def note(self, kind: int, level: float) -> None:
+        """Word of progress: 1 share done, 2 spills, 3 waits."""
+        self._owner.attempt_noted(self, kind, level)
+
+
+class Dispatcher:
+    """Carries out the decisions of one Gateway. `on_idle` is called whenever the last request has ended."""
+
+    def __init__(self, settings: api.Settings, seed: int, clock: Clock, engines: EngineClient) -> None:
+        self.settings, self.clock, self.engines = settings, clock, engines
+        self.gateway = Gateway(settings, seed)
+        self.live: dict[str, Request] = {}
+        self.open = 0  # requests that lack their final answer
+        self.on_idle: Callable[[], None] = lambda: None
+        self._count = 0
+        self._pending: list[api.Event] = []
+        self._closed: list[str] = []  # answered, and the module may not know yet
+        self._due: Timer | None = None
+        self._last = clock.now() - settings.tick
+
+    # What fronts and the directory call.
+
+    def submit(self, work: Work, sink: AnswerSink) -> Request:
+        """Take a request; its sink gets one answer, unless it is abandoned."""
+        # Ids of clients may repeat, by mistake or malice; towards the module only our own ones count.
+        self._count += 1
+        now = self.clock.now()
+        r = Request(f"r{self._count}", work, sink, now + work.budget - EARLY)
+        self.live[r.ident] = r
+        self.open += 1
+        r.backstop = self.clock.call_later(max(0.0, work.budget + BACKSTOP), lambda: self._overdue(r))
+        self._post(api.Arrival(r.ident, work.lane, work.tenant, max(0.0, r.deadline - now),
+                               work.tables, work.key))
+        return r
+
+    def abandon(self, r: Request) -> None:
+        """Nobody waits any more: no answer, and the work is freed at once."""
+        if not r.answered:
+            self._finish(r)
+            self._post(api.Left(r.ident))
+            for a in r.attempts:
+                self._give_up(a, Outcome.CXL)
+
+    def members(self, entries: list[api.Entry]) -> None:
+        """The whole list of engines, as last heard."""
+        self._post(api.Members(entries, True))
+
+    # What attempts call.
+
+    def attempt_ended(self, a: Attempt, outcome: Outcome, result: bytes) -> None:
+        """One attempt's end; the first good one is the request's answer."""
+        if a.ended or a.given_up:
+            return
+        r = a.request
+        if outcome is Outcome.GOOD and not r.answered:
+            self._finish(r)
+            self._answer(r, lambda: r.sink.served(result))
+        self._close(a, outcome)
+
+    def attempt_noted(self, a: Attempt, kind: int, level: float) -> None:
+        """Progress of an attempt that is out."""
+        if not (a.ended or a.given_up):
+            self._post(api.Progress(a.request.ident, a.leg, kind, level))
+
+    # Inside.
+
+    def _post(self, event: api.Event) -> None:
+        self._pending.append(event)
+        if self._due is None:
+            wait = self._last + self.settings.tick - self.clock.now()
+            self._due = self.clock.call_later(max(0.0, wait), self._step)
+
+    def _step(self) -> None:
+        self._due = None
+        events, self._pending = self._pending, []
+        closed, self._closed = self._closed, []
+        self._last = self.clock.now()
+        try:
+            actions = self.gateway.step(self._last, events)
+        except Exception:  # a fault of the decisions must not take the sockets down: the backstop answers
+            logger.exception("decision module failed on {} events", len(events))
+            actions = [api.Sleep(self.settings.tick * 10, "again")]
+        for action in actions:
+            self._act(action)
+        for ident in closed:  # the module has now been told; what it just did about them was let pass
+            self.live.pop(ident, None)
+
+    def _act(self, action: api.Action) -> None:
+        match action:
+            case api.Send():
+                if (r := self.live.get(action.req)) is not None:
+                    self._send(r, action)
+            case api.Cancel():
+                r = self.live.get(action.req)
+                if r is not None and 0 <= action.leg < len(r.attempts):
+                    self._give_up(r.attempts[action.leg], Outcome.CXL)
+            case api.Refuse():
+                r = self.live.get(action.req)
+                if r is not None and not r.answered:
+                    sink, wait = r.sink, action.wait
+                    self._finish(r)
+                    self._answer(r, lambda: sink.refused(wait))
+            case api.Fail():
+                r = self.live.get(action.req)
+                if r is not None and not r.answered:
+                    self._finish(r)
+                    self._answer(r, r.sink.failed)
+            case api.Sleep():
+                label = action.label
+                self.clock.call_later(action.delay, lambda: self._post(api.Tick(label)))
+            case _:  # terms, probes, peers and calls for the list have no counterpart on these wires
+                logger.debug("no counterpart on this wire: {}", action)
+
+    def _send(self, r: Request, action: api.Send) -> None:
+        now = self.clock.now()
+        left = r.deadline - now
+        a = Attempt(self, r, action.engine, now, min(left, action.max_wait or left))
+        out = r.out()
+        r.attempts.append(a)
+        if r.answered or out or left <= 0:
+            # Guards the rule on overlap and final answers whatever the module says: it never goes out.
+            if out:
+                logger.error("second attempt for {} while one is out", r.ident)
+            return self._close(a, Outcome.NOP)
+        a.timer = self.clock.call_later(a.deadline - now, lambda: self._late(a))
+        self.engines.start(a)
+
+    def _late(self, a: Attempt) -> None:
+        a.timer = None
+        self._give_up(a, Outcome.LATE)
+
+    def _give_up(self, a: Attempt, outcome: Outcome) -> None:
+        if a.ended or a.given_up:
+            return
+        a.given_up = True
+        self._stop_timer(a)
+        self.engines.give_up(a)
+        # The engine's end of this attempt is the arrival of the word just written; another attempt on
+        # another connection could overtake it. A tick is many times the way there.
+        self.clock.call_later(self.settings.tick, lambda: self._close(a, outcome))
+
+    def _close(self, a: Attempt, outcome: Outcome) -> None:
+        a.ended = True
+        self._stop_timer(a)
+        r = a.request
+        self._post(api.Verdict(r.ident, a.leg, a.engine, outcome, self.clock.now() - a.started, r.answered))
+
+    def _stop_timer(self, a: Attempt) -> None:
+        if a.timer is not None:
+            a.timer.cancel()
+            a.timer = None
+
+    def _overdue(self, r: Request) -> None:
+        if not r.answered:
+            logger.warning("deadline backstop for {} of class {}", r.ident, r.work.lane)
+            r.backstop = None
+            sink = r.sink
+            self.abandon(r)
+            self._answer(r, sink.failed)
+
+    def _finish(self, r: Request) -> None:
+        """From here on the request has had its answer; nothing else may be told to its client."""
+        r.answered = True
+        self.open -= 1
+        if r.backstop is not None:
+            r.backstop.cancel()
+            r.backstop = None
+        self._closed.append(r.ident)
+        if not self.open:  # only after whoever called has written the answer
+            self.clock.call_later(0, self._idle)
+
+    def _idle(self) -> None:
+        if not self.open:
+            self.on_idle()
+
+    def _answer(self, r: Request, call: Callable[[], None]) -> None:
+        try:
+            call()
+        except Exception:  # a front's fault with one client must not stop the others
+            logger.exception("answer to {} failed", r.ident)
--- /dev/null
+++ b/decklb/core/ports.py
@@ -0,0 +1,67 @@
+"""What the core asks of the world: a clock, somewhere to answer, something that runs attempts.
+
+Times are milliseconds on a monotonic clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from decklb.core.dispatcher import Attempt
+
+
+@dataclass(slots=True)
+class Work:
+    """One request as a front took it. `rid`, class, statement and token reach engines unchanged."""
+
+    rid: str
+    lane: str
+    tenant: str
+    budget: float
+    statement: bytes
+    tables: int = 0
+    key: str | None = None
+    token: str = ""
+
+
+class Timer(Protocol):
+    """A call that is still to come."""
+
+    def cancel(self) -> None:
+        """Forget the call."""
+
+
+class Clock(Protocol):
+    """Monotonic time and calls at a later time."""
+
+    def now(self) -> float:
+        """Milliseconds."""
+
+    def call_later(self, delay: float, call: Callable[[], None]) -> Timer:
+        """Make the call once, after that many milliseconds."""
+
+
+class AnswerSink(Protocol):
+    """Where a front takes the one final answer of a request; exactly one of these is called, once."""
+
+    def served(self, result: bytes) -> None:
+        """The whole result."""
+
+    def refused(self, backoff: float) -> None:
+        """A retry is harmless; it had better come after that many milliseconds."""
+
+    def failed(self) -> None:
+        """No promise about what was done."""
+
+
+class EngineClient(Protocol):
+    """Runs attempts; for each it calls `attempt.end` once, unless it is told to give it up first."""
+
+    def start(self, attempt: Attempt) -> None:
+        """Send the attempt to its engine."""
+
+    def give_up(self, attempt: Attempt) -> None:
+        """Tell the engine that nobody waits any more, and never call the attempt again."""
--- /dev/null
+++ b/decklb/net/directory.py
@@ -0,0 +1,150 @@
+"""The directory client: the list known at the start, then polls over DNS; whole answers only."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from loguru import logger
+from twisted.internet.protocol import DatagramProtocol
+
+from decklb.core.ports import Clock, Timer
+from decklb.interface import Entry, Phase
+from decklb.net import dns
+
+NAME = "_api._tcp.svc.local"
+# News is held to be told 1.5 s after it happened, whether an answer came or not, and grace runs from then:
+# a few polls fit in that, also where one is lost.
+POLL, TIMEOUT = 250.0, 400.0
+PHASES = {"Ready": Phase.UP, "Terminating": Phase.DRAINING, "Gone": Phase.REMOVED}
+
+
+@dataclass(slots=True)
+class Row:
+    """One engine of the list."""
+
+    engine: str
+    address: tuple[str, int]
+    zone: str
+    kind: str
+    cell: int
+    phase: Phase
+    hint: float
+    started: int  # Unix milliseconds, 0 for long ago
+
+
+class Directory(DatagramProtocol):
+    """Keeps the list; `changed` gets the entries and the addresses each time it differs."""
+
+    transport: Any
+
+    def __init__(self, clock: Clock, resolver: tuple[str, int] | None, draw: Callable[[int], int],
+                 changed: Callable[[list[Entry], dict[str, tuple[str, int]]], None]) -> None:
+        self.clock, self.draw, self.changed, self.resolver = clock, draw, changed, resolver
+        self.rows: dict[str, Row] = {}
+        self.index = -1
+        self.heard = False  # a whole answer has come
+        self.ident: int | None = None  # of the question that is out
+        self.timer: Timer | None = None
+        self.closed = False
+        self._starts: dict[tuple[str, int], float] = {}
+
+    def known(self, index: int, updates: list[dict[str, Any]]) -> None:
+        """The events of the start, in order."""
+        for update in updates:
+            news = update["endpoints"]
+            if news.get("reset"):
+                self.rows.clear()
+            for x in news["instances"]:
+                host, _, port = x["hostPort"].rpartition(":")
+                phase = PHASES[x["lifecycle"]]
+                if phase is Phase.REMOVED:
+                    self.rows.pop(x["instanceId"], None)
+                else:
+                    self.rows[x["instanceId"]] = Row(
+                        x["instanceId"], (host, int(port)), x.get("zone", ""), x.get("machineType", ""),
+                        int(x.get("cell", 0)), phase, float(x.get("weight", 1)),
+                        int(x.get("startedAtMs") or 0))
+        self.index = index
+        self._tell()
+
+    def startProtocol(self) -> None:
+        """The socket is open."""
+        self._ask()
+
+    def _ask(self) -> None:
+        self.timer = None
+        if self.closed:
+            return
+        self.ident = self.draw(1 << 16)
+        self.timer = self.clock.call_later(TIMEOUT, self._ask)  # a lost question is asked anew
+        self.transport.write(dns.query(self.ident, NAME), self.resolver)
+
+    def datagramReceived(self, datagram: bytes, addr: object) -> None:
+        """An answer; only the one to the question that is out counts."""
+        try:
+            reply = dns.read_reply(datagram)
+            if reply.ident != self.ident:
+                return
+            rows = rows_from(reply)
+        except (dns.DnsError, ValueError) as error:
+            logger.warning("directory answer dropped: {}", error)
+            return
+        self.ident = None
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = self.clock.call_later(POLL, self._ask)
+        serial = reply.serial or 0
+        if serial < self.index:  # an answer older than what is known
+            return
+        new, self.heard = serial > self.index or not self.heard, True
+        self.index = serial
+        if new and rows != self.rows:
+            self.rows = rows
+            self._tell()
+
+    def connectionRefused(self) -> None:
+        """Nobody listens there just now; the time-out asks again."""
+
+    def _tell(self) -> None:
+        entries = [Entry(r.engine, r.zone, r.kind, r.cell, r.phase, r.hint, self._ready_at(r))
+                   for r in self.rows.values()]
+        logger.info("list {}: {} engines, {} draining", self.index, len(entries),
+                    sum(e.phase is Phase.DRAINING for e in entries))
+        self.changed(entries, {r.engine: r.address for r in self.rows.values()})
+
+    def _ready_at(self, row: Row) -> float:
+        """A start on the monotonic clock; reckoned once, since the two clocks drift."""
+        if not row.started:
+            return 0.0
+        start = (row.engine, row.started)
+        if start not in self._starts:
+            self._starts = {s: at for s, at in self._starts.items() if s[0] in self.rows}
+            self._starts[start] = self.clock.now() - (time.time() * 1000.0 - row.started)
+        return self._starts[start]
+
+    def close(self) -> None:
+        """Ask no more."""
+        self.closed = True
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+
+def rows_from(reply: dns.Reply) -> dict[str, Row]:
+    """The list in an answer. Raises DnsError if a record that a target needs is missing."""
+    rows = {}
+    if reply.serial is None:
+        raise dns.DnsError("no serial")
+    for t in reply.targets:
+        if t.name not in reply.addresses or t.name not in reply.texts:
+            raise dns.DnsError("a target lacks its records")
+        engine, _, rest = t.name.partition(".")
+        text = dict(x.partition("=")[::2] for x in reply.texts[t.name])
+        rows[engine] = Row(engine, (reply.addresses[t.name], t.port), rest.partition(".")[0],
+                           text.get("kind", ""), int(text.get("cell", 0)),
+                           Phase.DRAINING if t.priority else Phase.UP, t.weight / 10,
+                           int(text.get("started", 0)))
+    return rows
--- /dev/null
+++ b/decklb/net/engines.py
@@ -0,0 +1,290 @@
+"""The engine client: attempts over RESP, on pooled connections.
+
+Engines are known by their directory id; each has a pool of its own, since an address may come to belong to
+another engine. A connection carries many attempts; it ends with one log line and a reason.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from loguru import logger
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.protocol import Factory, Protocol
+from twisted.python.failure import Failure
+
+from decklb.core.dispatcher import Attempt
+from decklb.core.ports import Clock, Timer
+from decklb.interface import Outcome, Settings
+from decklb.net import resp
+
+MOST_RESULT = 48_000  # bytes of a whole result
+MOST_PAGES = 64
+MOST_SPENT = 500  # ids given up on a connection, before it takes no more
+CONNECT_TIMEOUT, IDLE = 250.0, 15_000.0  # ms, where the settings say nothing
+IDLE_PART = 0.7  # of the time after which the other side closes: ours comes first, so no send crosses it
+ENDS = {b"full": Outcome.FULL, b"failed": Outcome.BAD, b"moot": Outcome.NOP}
+NOTES = {"p": 1, "s": 2, "w": 3}
+
+
+class Call:
+    """An attempt on a connection, and the pages that have come."""
+
+    __slots__ = ("attempt", "link", "pages", "size")
+
+    def __init__(self, attempt: Attempt, link: EngineLink) -> None:
+        self.attempt, self.link = attempt, link
+        self.pages: list[bytes | None] = []
+        self.size = 0
+
+    @property
+    def ident(self) -> bytes:
+        """The client's own id, which goes to the engine unchanged."""
+        return self.attempt.request.work.rid.encode()
+
+    def page(self, number: int, body: bytes) -> None:
+        """Take one page, once."""
+        if self.pages[number] is None:
+            self.pages[number] = body
+            self.size += len(body)
+
+    def whole(self) -> bytes | None:
+        """The result if no page lacks."""
+        pages = [p for p in self.pages if p is not None]
+        return b"".join(pages) if len(pages) == len(self.pages) else None
+
+
+class EngineLink(Protocol):
+    """One connection to an engine."""
+
+    transport: Any  # zope's interfaces say nothing to the type checker
+
+    def __init__(self, pool: Pool) -> None:
+        self.pool = pool
+        self.calls: dict[bytes, Call] = {}
+        self.spent: set[bytes] = set()  # ids given up here: a late answer must not end another attempt
+        self.up = self.closed = self.retired = False
+        self.reader = resp.RespReader()
+        self.reason = "peer-closed"
+        self.idle: Timer | None = None
+
+    def takes(self, ident: bytes) -> bool:
+        """Whether an attempt with this id may go on this connection."""
+        return not (self.closed or self.retired or ident in self.calls or ident in self.spent
+                    or len(self.calls) >= self.pool.client.streams or len(self.spent) > MOST_SPENT)
+
+    def add(self, call: Call) -> None:
+        """Send the attempt, now or when the connection is up."""
+        self.calls[call.ident] = call
+        self._rest()
+        if self.up:
+            self._do(call)
+
+    def drop(self, call: Call) -> None:
+        """Nobody waits for this attempt any more."""
+        if self.calls.pop(call.ident, None) is None:
+            return
+        if self.up:
+            self.spent.add(call.ident)
+            self.transport.write(resp.pack(b"forget" if call.pages else b"undo", call.ident))
+        self._rest()
+
+    def _do(self, call: Call) -> None:
+        work, a = call.attempt.request.work, call.attempt
+        left = max(1, int(a.deadline - self.pool.client.clock.now()))
+        fields = {"queue": work.lane, "budget": str(left)}
+        if work.token:
+            fields["uniq"] = work.token
+        self.transport.write(resp.pack(b"do", call.ident, resp.pack_fields(fields), work.statement))
+
+    def connectionMade(self) -> None:
+        """The handshake is over."""
+        self.up = True
+        self.transport.setTcpNoDelay(True)
+        for call in self.calls.values():
+            self._do(call)
+        self._rest()
+
+    def dataReceived(self, data: bytes) -> None:
+        """Answers, split anywhere."""
+        try:
+            for array in self.reader.feed(data):
+                if len(array) < 2:
+                    raise resp.RespError("an answer has at least an id and a word")
+                self._answer(array[0], array[1], resp.read_fields(array[2]) if len(array) > 2 else {},
+                             array[3] if len(array) > 3 else b"")
+        except resp.RespError as error:
+            self._abort(f"protocol: {error}")
+
+    def _answer(self, ident: bytes, word: bytes, fields: dict[str, str], body: bytes) -> None:
+        call = self.calls.get(ident)
+        if call is None:  # given up before
+            return
+        if word == b"news":
+            self._note(call, fields)
+        elif word == b"data" and not call.pages:
+            count = _count(fields.get("parts", "1"), 1, MOST_PAGES)
+            if count is None:
+                return self._end(call, Outcome.BAD)
+            call.pages = [None] * count
+            call.page(0, body)
+            self.transport.write(b"".join(resp.pack(b"page", ident, b"%d" % n) for n in range(1, count)))
+            self._check(call)
+        elif word == b"page" and call.pages:
+            number = _count(fields.get("part_no", ""), 1, len(call.pages) - 1)
+            if number is None:
+                return self._end(call, Outcome.BAD)
+            call.page(number, body)
+            self._check(call)
+        elif word in ENDS:
+            self._end(call, ENDS[word])
+
+    def _check(self, call: Call) -> None:
+        if call.size > MOST_RESULT:
+            return self._end(call, Outcome.BAD)
+        whole = call.whole()
+        if whole is not None:
+            self._end(call, Outcome.GOOD, whole)
+
+    def _end(self, call: Call, outcome: Outcome, result: bytes = b"") -> None:
+        del self.calls[call.ident]
+        if call.pages:  # the engine keeps them until it is told
+            self.transport.write(resp.pack(b"forget", call.ident))
+        if outcome is not Outcome.GOOD:
+            self.spent.add(call.ident)
+        self._rest()
+        call.attempt.end(outcome, result)
+
+    def _note(self, call: Call, fields: dict[str, str]) -> None:
+        kind = NOTES.get(fields.get("detail", ""))
+        if kind is not None:
+            try:
+                call.attempt.note(kind, float(fields.get("value", "")))
+            except ValueError:
+                logger.debug("note without a number from {}", self.pool.engine)
+
+    def _rest(self) -> None:
+        """An unused connection closes before the engine closes it, at once if it is retired."""
+        if self.idle is not None:
+            self.idle.cancel()
+            self.idle = None
+        if self.up and not self.closed and not self.calls:
+            wait = 0.0 if self.retired else self.pool.client.idle
+            self.idle = self.pool.client.clock.call_later(wait, self._close_idle)
+
+    def _close_idle(self) -> None:
+        self.idle = None
+        self.closed, self.reason = True, "retired" if self.retired else "idle"
+        self.transport.loseConnection()
+
+    def retire(self) -> None:
+        """No new attempt; close once what is out has ended."""
+        self.retired = True
+        self._rest()
+
+    def _abort(self, reason: str) -> None:
+        self.reason = reason
+        self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure | None = None) -> None:
+        """What was out may have run."""
+        if self.reason == "peer-closed" and reason is not None and reason.type is not ConnectionDone:
+            self.reason = "reset" if reason.type is ConnectionLost else _code(reason)
+        self.end(Outcome.RST)
+        logger.info("engine connection ended: {} engine={} address={}:{}", self.reason, self.pool.engine,
+                    *self.pool.address)
+
+    def refused(self, reason: Failure) -> None:
+        """It never came up, so nothing was sent."""
+        self.end(Outcome.NOCONN)
+        logger.info("engine connection ended: no-connection ({}) engine={} address={}:{}",
+                    _code(reason), self.pool.engine, *self.pool.address)
+
+    def end(self, outcome: Outcome) -> None:
+        """The connection is gone, and with it what was open on it."""
+        self.closed = True
+        self.pool.links.discard(self)
+        if self.idle is not None:
+            self.idle.cancel()
+            self.idle = None
+        calls, self.calls = list(self.calls.values()), {}
+        for call in calls:
+            call.attempt.end(outcome)
+
+
+class Pool:
+    """The connections to one engine."""
+
+    def __init__(self, client: RespEngines, engine: str, address: tuple[str, int]) -> None:
+        self.client, self.engine, self.address = client, engine, address
+        self.links: set[EngineLink] = set()
+
+    def start(self, attempt: Attempt) -> None:
+        """Send on a connection that can take it, else on a new one."""
+        ident = attempt.request.work.rid.encode()
+        link = next((x for x in self.links if x.takes(ident)), None) or self._connect()
+        attempt.handle = call = Call(attempt, link)
+        link.add(call)
+
+    def _connect(self) -> EngineLink:
+        link = EngineLink(self)
+        self.links.add(link)
+        host, port = self.address
+        endpoint = TCP4ClientEndpoint(self.client.reactor, host, port, self.client.connect_timeout / 1000)
+        factory: Any = Factory.forProtocol(lambda: link)
+        factory.noisy = False
+        endpoint.connect(factory).addErrback(link.refused)
+        return link
+
+    def retire(self) -> None:
+        """The engine has gone, or has moved."""
+        for link in list(self.links):
+            link.retire()
+
+
+class RespEngines:
+    """The core's engine client on the platform."""
+
+    def __init__(self, reactor: Any, clock: Clock, settings: Settings, limits: dict[str, Any]) -> None:
+        self.reactor, self.clock = reactor, clock
+        self.streams = int(limits.get("streams_per_conn", 100))
+        self.connect_timeout = float(limits.get("connect_timeout", CONNECT_TIMEOUT))
+        self.idle = IDLE_PART * float(limits.get("conn_idle", IDLE))
+        self.pools: dict[str, Pool] = {}
+
+    def addresses(self, now: dict[str, tuple[str, int]]) -> None:
+        """The engines by id, and where each listens."""
+        for engine, pool in list(self.pools.items()):
+            if now.get(engine) != pool.address:
+                pool.retire()
+                del self.pools[engine]
+        for engine, address in now.items():
+            if engine not in self.pools:
+                self.pools[engine] = Pool(self, engine, address)
+
+    def start(self, attempt: Attempt) -> None:
+        """Send an attempt; its end is told by a callback."""
+        pool = self.pools.get(attempt.engine)
+        if pool is None:  # gone since the decision
+            attempt.end(Outcome.NOCONN)
+        else:
+            pool.start(attempt)
+
+    def give_up(self, attempt: Attempt) -> None:
+        """The engine is told before anybody else is."""
+        if isinstance(attempt.handle, Call):
+            attempt.handle.link.drop(attempt.handle)
+
+    def close(self) -> None:
+        """Close every connection."""
+        for pool in self.pools.values():
+            pool.retire()
+
+
+def _code(reason: Failure) -> str:
+    return reason.type.__name__ if reason.type is not None else "unknown"
+
+
+def _count(text: str, least: int, most: int) -> int | None:
+    return int(text) if text.isascii() and text.isdigit() and least <= int(text) <= most else None
--- /dev/null
+++ b/decklb/net/service.py
@@ -0,0 +1,96 @@
+"""The process: builds the parts, opens the sockets, answers for readiness, and drains on SIGTERM."""
+
+from __future__ import annotations
+
+import random
+import signal
+from typing import Any
+
+from loguru import logger
+
+from decklb.config import Config
+from decklb.core.dispatcher import Dispatcher
+from decklb.core.ports import Timer
+from decklb.interface import Entry, Phase
+from decklb.net.clock import ReactorClock
+from decklb.net.directory import Directory
+from decklb.net.engines import RespEngines
+from decklb.net.front import Front
+
+GRACE = 700.0  # ms after SIGTERM in which clients that do not know yet are still taken in
+HEARD = 3000.0  # ms after which the list of the start must do where the directory does not answer
+FLUSH = 500.0  # ms for last answers to leave
+
+
+class Service:
+    """One workload manager."""
+
+    def __init__(self, reactor: Any, config: Config) -> None:
+        self.reactor, self.config = reactor, config
+        self.clock = ReactorClock(reactor)
+        self.rng = random.Random(config.seed)
+        self.engines = RespEngines(reactor, self.clock, config.settings, config.limits)
+        self.dispatcher = Dispatcher(config.settings, config.seed, self.clock, self.engines)
+        self.front = Front(self.dispatcher, self.ready, config.most_clients)
+        self.directory = Directory(self.clock, config.resolver, self.rng.randrange, self._list)
+        self.up = 0  # engines that the list calls up
+        self.listening = self.stopping = self.late = False
+        self.port: Any = None
+        self.final: Timer | None = None
+
+    def start(self) -> None:
+        """Open everything. Raises what Twisted raises when the address can't be had."""
+        c = self.config
+        self.directory.known(c.index, c.updates)
+        if c.resolver is None:
+            self.late = True
+        else:
+            self.reactor.listenUDP(0, self.directory, interface=c.listen[0], maxPacketSize=65536)
+            self.clock.call_later(HEARD, self._no_word)
+        self.port = self.reactor.listenTCP(c.listen[1], self.front, backlog=512, interface=c.listen[0])
+        self.listening = True
+        logger.info("{} listens on {}:{}, {} clients at most", c.name, *c.listen, c.most_clients)
+
+    def ready(self) -> bool:
+        """Whether a request sent now would be served as well as any."""
+        return self.listening and not self.stopping and self.up > 0 and (self.directory.heard or self.late)
+
+    def _no_word(self) -> None:
+        self.late = True
+
+    def _list(self, entries: list[Entry], addresses: dict[str, tuple[str, int]]) -> None:
+        self.up = sum(e.phase is Phase.UP for e in entries)
+        self.engines.addresses(addresses)
+        self.dispatcher.members(entries)
+
+    def terminate(self, *_: object) -> None:
+        """SIGTERM: not ready from now on, but what is under way to us is still taken."""
+        if self.stopping:
+            return
+        self.stopping = True
+        logger.info("SIGTERM: draining, {} requests open", self.dispatcher.open)
+        self.front.announce()
+        self.clock.call_later(GRACE, self._drain)
+
+    def _drain(self) -> None:
+        self.listening = False
+        self.port.stopListening()
+        self.dispatcher.on_idle = self._stop
+        self.front.close()
+        if not self.dispatcher.open:
+            self._stop()
+
+    def _stop(self) -> None:
+        if self.final is None:
+            self.directory.close()
+            self.engines.close()
+            self.final = self.clock.call_later(FLUSH, self.reactor.stop)
+
+    def run(self) -> None:
+        """Serve until the end."""
+        self.start()
+        self.reactor.callWhenRunning(lambda: signal.signal(signal.SIGTERM, self._signal))
+        self.reactor.run()
+
+    def _signal(self, *_: object) -> None:
+        self.reactor.callFromThread(self.terminate)
--- a/decklb/rules.py
+++ b/decklb/rules.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 from decklb import interface as api
@@ -59,6 +60,7 @@
         self.heard: dict[int, tuple[float, list[float]]] = {}
         self.part, self.parts = 1.0 / settings.fronts, [1.0 / settings.fronts] * len(self.tenants)
         self.stress, self.room, self.base = 1.0, CAPPED, 1.0  # base: own part of the bound, in threads
+        self.busy: dict[tuple[str, float], tuple[float, int]] = {}  # class, size: hold, threads
         self.sighted = settings.probes and "rif" in settings.fields  # load is reported to those who ask
         self.asks, self.mix = ASKED, 1.5  # probes saved up; threads a query, on average
         self.fresh = FRESH * min(c.aim for c in settings.classes.values())
@@ -162,6 +164,7 @@
         x, leg.outcome = leg.engine, e.outcome
         x.running -= 0 if leg.lost else r.spec.threads
         x.out.pop((e.req, e.leg), None)
+        x.sort(leg, leg.size).drop(leg)
         if e.outcome in (Outcome.GOOD, Outcome.LATE):
             sure = e.rtt > SURE * self._hold(r) and x.heard > leg.sent
             self.loss += EWMA * ((sure and e.outcome is Outcome.LATE) - self.loss)
@@ -260,8 +263,10 @@
         weights = sum(t.weight for t in self.tenants.values() if t.queue) or 1.0
         for t in self.tenants.values():
             total = sum(self._hold(r) * r.spec.threads for _, _, r in t.queue) - limit * t.weight / weights
+            if total <= 0 or limit <= 0:
+                continue
             for r in sorted((r for _, _, r in t.queue), key=lambda r: (self._value(r), r.seq))[:-1]:
-                if total > 0 and limit > 0:
+                if total > 0:
                     total -= self._hold(r) * r.spec.threads
                     self._give_up(r)
 
@@ -313,6 +318,7 @@
     def _release(self) -> None:
         """Weighted round robin over tenants with something to send, until nothing more fits."""
         ready = list(self.tenants.values())
+        self._count()
         while ready:
             t = min(ready, key=lambda t: t.turn)
             # Past a head that placement, a load or a key holds back; what waits for reports waits alike.
@@ -340,9 +346,19 @@
         """Within the bound on all own threads. Much longer work does not count, else short work waits seconds
         behind it where the part is a query or two; nor what surely was lost, else ghosts fill it."""
         limit, longest = max(1.0, self.base * self.room), SHORT * self._hold(r)
-        return self.sighted or limit > sum(
-            a.request.spec.threads for x in self.fleet.up() for a in x.out.values()
-            if not a.lost and self.now - a.sent < SURE * self._hold(a.request) < SURE * longest)
+        return self.sighted or limit > sum(threads for hold, threads in self.busy.values() if hold < longest)
+
+    def _count(self) -> None:
+        """Own threads out by class and size, once a step: each send asks, and thousands may be out."""
+        self.busy.clear()
+        for x in self.fleet.up():
+            for kind, out in x.short.items():
+                hold = out.usual.hold * out.size
+                _, threads = self.busy.get(kind, (hold, 0))
+                self.busy[kind] = hold, threads + out.since(self.now - SURE * hold)
+
+    def _round(self, r: Request) -> float:  # sizes count in steps of two; 1 where there are no estimates
+        return 2.0 ** round(math.log2(self._size(r)))
 
     def _bound(self, x: Engine) -> bool:
         """Two threads a core times this front's part, at least one query: answers tell a jam too late."""
@@ -440,10 +456,13 @@
         if memory or rank != 1:
             self.actions.append(api.Terms(r.a.req, memory, rank))
         wait = min(wait, LOST * u.hold) if x.trial else wait
-        leg = Attempt(r, len(r.legs), x, self.now)
+        leg = Attempt(r, len(r.legs), x, self.now, self._round(r))
         r.legs.append(leg)
         x.out[(r.a.req, leg.number)] = leg
         x.running += c.threads
+        x.sort(leg, leg.size).add(leg)
+        hold, threads = self.busy.get((c.name, leg.size), (self._hold(r), 0))
+        self.busy[c.name, leg.size] = hold, threads + c.threads
         x.load += c.threads / x.cores
         x.spend(self.now, u.work, s.fall + s.tick)
         self.actions.append(api.Send(r.a.req, x.entry.engine, wait))
@@ -458,6 +477,7 @@
             if a.lost or a.noted or age < limit or a.engine.heard < a.sent + age / 2 or not proven:
                 continue
             a.lost = True
+            a.engine.sort(a, a.size).drop(a)
             a.engine.running -= r.spec.threads
             if not s.duplicates:
                 self._call_off(a)
--- a/decklb/state.py
+++ b/decklb/state.py
@@ -16,6 +16,33 @@
 LONG_AGO = -1e12
 
 
+@dataclass(slots=True, eq=False)
+class Out:
+    """Attempts of one class and size that are out at one engine, oldest first, and their threads."""
+
+    usual: Usual
+    size: float
+    threads: int = 0
+    attempts: dict[Attempt, None] = field(default_factory=dict)
+
+    def add(self, a: Attempt) -> None:
+        """One more; sends come in the order of time."""
+        self.attempts[a] = None
+        self.threads += a.request.spec.threads
+
+    def drop(self, a: Attempt) -> None:
+        """It ended, or is taken for lost."""
+        if a in self.attempts:
+            del self.attempts[a]
+            self.threads -= a.request.spec.threads
+
+    def since(self, start: float) -> int:
+        """Threads of those sent after `start`; what is older is forgotten, as it surely was lost."""
+        while self.attempts and (first := next(iter(self.attempts))).sent <= start:
+            self.drop(first)
+        return self.threads
+
+
 @dataclass(slots=True, eq=False)
 class Engine:
     """An engine as this front knows it."""
@@ -37,6 +64,7 @@
     cold_from: float = LONG_AGO
     sent: deque[tuple[float, float]] = field(default_factory=deque)  # (time, work) of sends
     ranks: dict[int, bytes] = field(default_factory=dict)  # hash with each group of tables
+    short: dict[tuple[str, float], Out] = field(default_factory=dict)  # what is out, by class and size
 
     def rank(self, group: int) -> bytes:
         """This engine's place in a group's hash order."""
@@ -60,6 +88,13 @@
         self.sent.append((now, work))
         self.sent_since(now - span)
 
+    def sort(self, a: Attempt, size: float) -> Out:
+        """Where an attempt of that size counts."""
+        lane = a.request.a.lane
+        if (lane, size) not in self.short:
+            self.short[lane, size] = Out(a.request.usual, size)
+        return self.short[lane, size]
+
     def loads(self, tables: int) -> bool:
         """Whether an own load on this group is out here."""
         return any(a.request.spec.holds and a.request.a.tables == tables for a in self.out.values())
@@ -109,6 +144,7 @@
     number: int
     engine: Engine
     sent: float
+    size: float = 1.0  # against the usual of its class, in steps of two
     outcome: Outcome | None = None
     lost: bool = False  # taken for lost
     noted: bool = False  # a progress note has come
