Count threads out exactly as before, by bisection in the times of sending

Checked: what was taken for lost was forgotten for good, while the sum made anew each time counted it again once the class's usual time had grown (Out.since in state.py). Now the times are kept and counted by bisection.

--- a/decklb/rules.py
+++ b/decklb/rules.py
@@ -164,7 +164,8 @@
         x, leg.outcome = leg.engine, e.outcome
         x.running -= 0 if leg.lost else r.spec.threads
         x.out.pop((e.req, e.leg), None)
-        x.sort(leg, leg.size).drop(leg)
+        if not leg.lost:
+            x.sort(leg, leg.size).drop(leg)
         if e.outcome in (Outcome.GOOD, Outcome.LATE):
             sure = e.rtt > SURE * self._hold(r) and x.heard > leg.sent
             self.loss += EWMA * ((sure and e.outcome is Outcome.LATE) - self.loss)
--- a/decklb/state.py
+++ b/decklb/state.py
@@ -4,7 +4,7 @@
 
 import random
 import struct
-from bisect import bisect_left, insort
+from bisect import bisect_left, bisect_right, insort
 from collections import deque
 from dataclasses import dataclass, field, replace
 from hashlib import blake2b
@@ -18,29 +18,24 @@
 
 @dataclass(slots=True, eq=False)
 class Out:
-    """Attempts of one class and size that are out at one engine, oldest first, and their threads."""
+    """When the attempts of one class and size that are out at one engine were sent, in order."""
 
     usual: Usual
     size: float
-    threads: int = 0
-    attempts: dict[Attempt, None] = field(default_factory=dict)
+    threads: int  # of one
+    sent: list[float] = field(default_factory=list)
 
     def add(self, a: Attempt) -> None:
         """One more; sends come in the order of time."""
-        self.attempts[a] = None
-        self.threads += a.request.spec.threads
+        self.sent.append(a.sent)
 
     def drop(self, a: Attempt) -> None:
         """It ended, or is taken for lost."""
-        if a in self.attempts:
-            del self.attempts[a]
-            self.threads -= a.request.spec.threads
+        del self.sent[bisect_left(self.sent, a.sent)]
 
     def since(self, start: float) -> int:
-        """Threads of those sent after `start`; what is older is forgotten, as it surely was lost."""
-        while self.attempts and (first := next(iter(self.attempts))).sent <= start:
-            self.drop(first)
-        return self.threads
+        """Threads of those sent after `start`."""
+        return self.threads * (len(self.sent) - bisect_right(self.sent, start))
 
 
 @dataclass(slots=True, eq=False)
@@ -92,7 +87,7 @@
         """Where an attempt of that size counts."""
         lane = a.request.a.lane
         if (lane, size) not in self.short:
-            self.short[lane, size] = Out(a.request.usual, size)
+            self.short[lane, size] = Out(a.request.usual, size, a.request.spec.threads)
         return self.short[lane, size]
 
     def loads(self, tables: int) -> bool:
