Wait longer for an undo to arrive; keep reading from clients that read slowly

Now 25 ms, where another attempt may follow. Reading was paused for clients that read slowly (front.py pauseProducing), so what they had sent ran out of time unseen.

--- a/decklb/net/engines.py
+++ b/decklb/net/engines.py
@@ -24,7 +24,9 @@
 MOST_PAGES = 64
 MOST_SPENT = 500  # ids given up on a connection, before it takes no more
 CONNECT_TIMEOUT, IDLE = 250.0, 15_000.0  # ms, where the settings say nothing
-OVERTAKE = 5.0  # ms
+# What ends an attempt at its engine is the arrival of the `undo`, and an attempt on another connection could
+# overtake it; so long is waited where another may follow. 5 ms were too few once in some 10,000 (bd00dba5).
+OVERTAKE, LAST = 25.0, 5.0  # ms; LAST: at the request's own deadline, when none can follow
 IDLE_PART = 0.7  # of the time after which the other side closes: ours comes first, so no send crosses it
 ENDS = {b"full": Outcome.FULL, b"failed": Outcome.BAD, b"moot": Outcome.NOP}
 NOTES = {"p": 1, "s": 2, "w": 3}
@@ -277,9 +279,8 @@
         """The engine is told before anybody else is."""
         if isinstance(attempt.handle, Call):
             attempt.handle.link.drop(attempt.handle)
-        # What counts there is the arrival of the word just written; an attempt on another connection could
-        # overtake it. This is many times the way there.
-        self.clock.call_later(OVERTAKE, freed)
+        over = attempt.request.answered or self.clock.now() >= attempt.request.deadline
+        self.clock.call_later(LAST if over else OVERTAKE, freed)
 
     def close(self) -> None:
         """Close every connection."""
--- a/decklb/net/front.py
+++ b/decklb/net/front.py
@@ -15,7 +15,7 @@
 from decklb.net.frames import BadRequest, ProtocolError
 
 MOST_STREAMS = 32  # requests open on one connection
-MOST_UNREAD = 1 << 20  # bytes that one client leaves unread
+MOST_UNREAD = 32 * 52_000  # bytes that one client may leave unread: as much as its open requests can bring
 MOST_HELD = 32 << 20  # bytes of all connections, read in part or not yet taken by their clients
 AWAY = 500.0  # ms that a client turned away by the front itself had better wait
 
@@ -69,15 +69,13 @@
     # The transport tells whether the client reads what it is sent.
 
     def pauseProducing(self) -> None:
-        """The client reads too slowly: take nothing more from it."""
+        """The client reads slowly. What it has sent is taken all the same, or its requests would be lost."""
         self.stuck = True
-        self.transport.pauseProducing()
 
     def resumeProducing(self) -> None:
         """All that was written has gone."""
         self.stuck, self.unread = False, 0
         self._hold()
-        self.transport.resumeProducing()
 
     def stopProducing(self) -> None:
         """The connection is ending."""
