--- a/decklb/bgp/speaker.py
+++ b/decklb/bgp/speaker.py
@@ -114,6 +114,8 @@
 
     def _keepalive(self) -> None:
         self.alive = None
+        if self.closed:  # nothing follows a NOTIFICATION
+            return
         self.transport.write(bgp.pack(bgp.KEEPALIVE))
         if self.hold:
             self.alive = self.peer.speaker.clock.call_later(self.hold / 3, self._keepalive)
--- a/decklb/net/service.py
+++ b/decklb/net/service.py
@@ -22,8 +22,10 @@
 from decklb.pg.front import PgFront
 
 # A full garbage collection went through all that was imported, up to 60 ms at a time under load, and answers due
-# then were late. What exists at the start is set apart, and the rest is looked through less often.
-COLLECT = (5000, 10, 20)
+# then were late. What exists at the start is set apart; after that full collections are made here, when no request
+# is open, or after a long time without such a moment. Requests leave no circles behind, so little is left to them.
+COLLECT = (5000, 10, 1_000_000)
+IDLE_COLLECT, FORCED_COLLECT = 30_000.0, 900_000.0  # ms between looks; at the latest
 GRACE = 700.0  # ms after SIGTERM in which clients that do not know yet are still taken in
 HEARD = 3000.0  # ms after which the list of the start must do where the directory does not answer
 FLUSH = 500.0  # ms for last answers to leave
@@ -122,8 +124,16 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(*COLLECT)
+        self._collect(self.clock.now())
         self.reactor.callWhenRunning(lambda: signal.signal(signal.SIGTERM, self._signal))
         self.reactor.run()
 
+    def _collect(self, last: float) -> None:
+        now = self.clock.now()
+        if not self.dispatcher.open or now - last >= FORCED_COLLECT:
+            gc.collect()
+            last = now
+        self.clock.call_later(IDLE_COLLECT, lambda: self._collect(last))
+
     def _signal(self, *_: object) -> None:
         self.reactor.callFromThread(self.terminate)
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,246 @@
+"""The program on the platform's wires: started as a process, spoken to over real sockets; one test a rule."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import unittest
+
+from decklb.net import frames, resp
+from tests.standins import DEADLINE, Loop, Program, known, wait_for
+
+RID = "9b1f03aa5c7e2d41"
+
+
+class RespEngine:
+    """Answers by the statement: 'rows N' in N pages, 'hang' never, 'die' by a reset, a word of the protocol by it."""
+
+    def __init__(self, loop):
+        self.log, self.connections = [], 0
+        self.server = loop.run(asyncio.start_server(self._serve, "127.0.0.1", 0))
+        self.port = self.server.sockets[0].getsockname()[1]
+        self.loop = loop
+
+    def close(self):
+        self.loop.loop.call_soon_threadsafe(self.server.close)
+
+    def said(self, word):
+        return [parts for parts in list(self.log) if parts[0] == word]
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        parser, statements = resp.RespReader(), {}
+        while data := await reader.read(65536):
+            for parts in parser.feed(data):
+                self.log.append(parts)
+                word, ident = parts[:2]
+                if word == b"do":
+                    statements[ident] = parts[3].split()
+                    self._do(writer, ident, statements[ident])
+                elif word == b"page" and statements[ident][:1] != [b"lose"]:
+                    writer.write(resp.pack(ident, b"page", b"part_no=" + parts[2], b"page%b\n" % parts[2]))
+                elif word == b"page":
+                    writer.write(resp.pack(ident, b"failed", b"-", b""))
+
+    def _do(self, writer, ident, words):
+        if words[0] in (b"rows", b"lose"):
+            writer.write(resp.pack(ident, b"news", b"detail=p,value=0.5", b""))
+            writer.write(resp.pack(ident, b"data", b"parts=" + words[1], b"page0\n"))
+        elif words[0] in (b"full", b"failed", b"moot"):
+            writer.write(resp.pack(ident, words[0], b"-", b""))
+        elif words[0] == b"die":
+            writer.transport.abort()
+        elif words[0] == b"rubbish":
+            writer.write(b"HTTP/1.1 400\r\n\r\n")
+
+
+class Client:
+    """A client of the platform that says exactly what a test wants it to say."""
+
+    def __init__(self, port):
+        self.socket = socket.create_connection(("127.0.0.1", port), DEADLINE)
+        self.reader, self.found = frames.FrameReader(), []
+
+    def send(self, *data):
+        self.socket.sendall(b"".join(data))
+
+    def next(self):
+        while not self.found:
+            data = self.socket.recv(65536)
+            if not data:
+                return None
+            self.found += self.reader.feed(data)
+        return self.found.pop(0)
+
+    def answer(self):
+        """(stream, code, fields, body) of the next answer."""
+        frame = self.next()
+        fields, body = frames.read_fields(frame.payload[1:])
+        return frame.stream, frame.payload[0], fields, body
+
+
+def request(stream, statement, **fields):
+    given = {"method": "read", "rid": RID, "budget": "5000", "acct": "cusco"} | fields
+    return frames.pack(frames.REQUEST, stream, frames.pack_fields(given) + statement)
+
+
+class Platform(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.loop = Loop()
+        cls.engines = [RespEngine(cls.loop), RespEngine(cls.loop)]
+        cls.program = Program({"known": known(*[e.port for e in cls.engines])})
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.program.stop()
+        for engine in cls.engines:
+            engine.close()
+        cls.loop.stop()
+
+    def setUp(self):
+        for engine in self.engines:
+            engine.log.clear()
+        self.client = Client(self.program.port)
+
+    def tearDown(self):
+        self.client.socket.close()
+        self.assertEqual(self.program.logged("Traceback"), "")
+
+    def said(self, word):
+        return [p for e in self.engines for p in e.said(word)]
+
+    def test_all_pages_arrive_in_order_and_are_forgotten(self):
+        self.client.send(request(1, b"rows 4", token="t1"))
+        self.assertEqual(self.client.answer(), (1, frames.SERVED, {}, b"page0\npage1\npage2\npage3\n"))
+        wait_for(lambda: self.said(b"forget"), "forget")
+        _, ident, fields, body = self.said(b"do")[0]
+        told = resp.read_fields(fields)
+        self.assertEqual((ident.decode(), body, told["queue"], told["uniq"]), (RID, b"rows 4", "read", "t1"))
+        self.assertTrue(0 < int(told["budget"]) <= 5000)
+
+    def test_a_frame_may_come_byte_by_byte(self):
+        for byte in request(1, b"rows 1"):
+            self.client.send(bytes([byte]))
+        self.assertEqual(self.client.answer()[1], frames.SERVED)
+
+    def test_answers_find_their_streams_though_ids_repeat(self):
+        self.client.send(*[request(n, b"rows %d" % n) for n in (1, 2, 3)])
+        found = {stream: body.count(b"\n") for stream, _, _, body in (self.client.answer() for _ in range(3))}
+        self.assertEqual(found, {1: 1, 2: 2, 3: 3})
+
+    def test_failed_tries_go_elsewhere_and_end_in_a_refusal_with_backoff(self):
+        for word in (b"failed", b"die", b"lose 3", b"rubbish"):
+            for engine in self.engines:
+                engine.log.clear()
+            self.client.send(request(1, word))
+            _, code, fields, _ = self.client.answer()
+            self.assertEqual(code, frames.REFUSED, word)
+            self.assertGreater(int(fields["backoff"]), 0)
+            self.assertTrue(all(e.said(b"do") for e in self.engines), word)
+
+    def test_what_may_not_repeat_fails(self):
+        self.client.send(request(1, b"die", method="load"))
+        self.assertEqual(self.client.answer()[1], frames.FAILED)
+        self.assertEqual(len(self.said(b"do")), 1)
+
+    def test_time_out_is_told_to_the_engine_and_answered(self):
+        self.client.send(request(1, b"hang", budget="1500"))
+        self.assertEqual(self.client.answer()[1], frames.REFUSED)
+        self.assertEqual(len(self.said(b"undo")), 1)
+
+    def test_a_client_that_does_not_wait_frees_its_work(self):
+        self.client.send(request(1, b"hang"))
+        wait_for(lambda: self.said(b"do"), "do")
+        self.client.send(frames.pack(frames.GONE, 1), request(2, b"rows 1"))
+        self.assertEqual(self.client.answer()[:2], (2, frames.SERVED))
+        wait_for(lambda: self.said(b"undo"), "undo")
+
+    def test_a_client_that_leaves_frees_its_work(self):
+        self.client.send(request(1, b"hang"))
+        wait_for(lambda: self.said(b"do"), "do")
+        self.client.socket.close()
+        wait_for(lambda: self.said(b"undo"), "undo")
+        wait_for(lambda: self.program.logged("abandoned=1"), "the log line")
+
+    def test_bad_requests_get_an_error_and_the_connection_goes_on(self):
+        self.client.send(request(1, b"rows 1", budget="soon"), frames.pack(1, 2, b"\xff"), request(3, b"rows 1"))
+        found = {stream: code for stream, code, _, _ in (self.client.answer() for _ in range(3))}
+        self.assertEqual(found, {1: frames.FAILED, 2: frames.FAILED, 3: frames.SERVED})
+
+    def test_broken_framing_ends_the_connection_with_a_reason(self):
+        for raw, reason in ((b"\xff\xff\xff\xff", "bad-length"), (frames.pack(9, 1), "unknown-type"),
+                            (request(0, b"x"), "stream-in-use"),
+                            (request(1, b"hang") + request(1, b"hang"), "stream-in-use")):
+            client = Client(self.program.port)
+            client.send(raw)
+            self.assertEqual(client.answer()[::2], (0, {"reason": reason}))
+            self.assertIsNone(client.next())
+            wait_for(lambda reason=reason: self.program.logged("client connection ended: " + reason), reason)
+
+    def test_more_than_32_streams_are_refused(self):
+        self.client.send(*[request(n, b"hang") for n in range(1, 34)])
+        self.assertEqual(self.client.answer()[:2], (33, frames.REFUSED))
+
+    def test_ready_is_told(self):
+        self.client.send(frames.pack(frames.ASK_READY, 5, b"\0"))
+        frame = self.client.next()
+        self.assertEqual((frame.type, frame.stream, frame.payload[0]), (frames.READY, 5, 1))
+
+
+class Alone(unittest.TestCase):
+    """Programs of their own: those that end, and those without engines."""
+
+    def setUp(self):
+        self.loop = Loop()
+        self.engine = RespEngine(self.loop)
+
+    def tearDown(self):
+        self.engine.close()
+        self.loop.stop()
+
+    def program(self, **config):
+        program = Program(config)
+        self.addCleanup(program.stop)
+        return program
+
+    def test_not_ready_without_engines(self):
+        client = Client(self.program(known=known()).port)
+        client.send(frames.pack(frames.ASK_READY, 1, b"\0"))
+        self.assertEqual(client.next().payload[0], 0)
+
+    def test_refused_connections_prove_that_nothing_ran(self):
+        free = socket.create_server(("127.0.0.1", 0))
+        port = free.getsockname()[1]
+        free.close()
+        client = Client(self.program(known=known(port)).port)
+        client.send(request(1, b"rows 1", method="load", budget="1500"))
+        self.assertEqual(client.answer()[1], frames.REFUSED)
+
+    def test_drain_tells_clients_takes_what_still_comes_and_exits(self):
+        program = self.program(known=known(self.engine.port))
+        old = Client(program.port)
+        old.send(request(1, b"hang", budget="2500"))
+        wait_for(lambda: self.engine.said(b"do"), "do")
+        program.process.terminate()
+        self.assertEqual(old.next().type, frames.GO_AWAY)
+        new = Client(program.port)  # the front layer does not know yet
+        new.send(frames.pack(frames.ASK_READY, 1, b"\0"), request(2, b"rows 1"))
+        self.assertEqual(new.next().payload[0], 0)
+        self.assertEqual(new.answer()[:2], (2, frames.SERVED))
+        while (frame := old.next()).type != frames.ANSWER:
+            self.assertEqual(frame.type, frames.GO_AWAY)
+        self.assertEqual(program.process.wait(DEADLINE), 0)
+
+    def test_connections_over_the_limit_are_closed_with_a_reason(self):
+        program = self.program(known=known(self.engine.port), limits={"sockets": 25})  # (25 - 16) // 3
+        clients = [Client(program.port) for _ in range(3)]
+        for client in clients:  # each of these is in before the next one tries
+            client.send(frames.pack(frames.ASK_READY, 1, b"\0"))
+            self.assertEqual(client.next().type, frames.READY)
+        self.assertIsNone(Client(program.port).next())
+        wait_for(lambda: program.logged("too-many-connections"), "the log line")
+
+
+if __name__ == "__main__":
+    unittest.main()
