--- a/decklb/pg/engines.py
+++ b/decklb/pg/engines.py
@@ -234,6 +234,10 @@
         self.transport.write(pg.pack_cancel(*self.backend))
         self.transport.loseConnection()
 
+    def connectionLost(self, reason: Failure | None = None) -> None:
+        """The engine reads it and says nothing."""
+        logger.info("engine connection ended: cancel-sent pid={}", self.backend[0])
+
 
 class PgPool:
     """The connections to one engine."""
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -8,6 +8,7 @@
 
 from decklb.net import frames, resp
 from tests.standins import DEADLINE, Loop, Program, known, wait_for
+from tests.test_parsers import reply
 
 RID = "9b1f03aa5c7e2d41"
 
@@ -209,6 +210,34 @@
         client.send(frames.pack(frames.ASK_READY, 1, b"\0"))
         self.assertEqual(client.next().payload[0], 0)
 
+    def test_the_directory_brings_engines_by_whole_answers_to_its_own_questions(self):
+        server = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.addCleanup(server.close)
+        server.settimeout(DEADLINE)
+        server.bind(("127.0.0.1", 0))
+        program = self.program(known=known(), resolver=f"127.0.0.1:{server.getsockname()[1]}")
+        client, seen = Client(program.port), set()
+
+        def ready():
+            client.send(frames.pack(frames.ASK_READY, 1, b"\0"))
+            return client.next().payload[0]
+
+        for whole in (False, False, True):
+            data, peer = server.recvfrom(4096)
+            ident = int.from_bytes(data[:2], "big")
+            seen.add(ident)
+            answer = reply(ident=ident, port=self.engine.port, priority=0)
+            if not whole:  # to another question, cut short, and no answer at all
+                server.sendto(reply(ident=ident ^ 1, port=self.engine.port, priority=0), peer)
+                server.sendto(answer[:-30], peer)
+                self.assertEqual(ready(), 0)
+            else:
+                server.sendto(answer, peer)
+        wait_for(ready, "readiness")
+        self.assertGreater(len(seen), 1)  # drawn anew for each question
+        client.send(request(1, b"rows 1"))
+        self.assertEqual(client.answer()[1], frames.SERVED)
+
     def test_refused_connections_prove_that_nothing_ran(self):
         free = socket.create_server(("127.0.0.1", 0))
         port = free.getsockname()[1]
