--- a/decklb/cli.py
+++ b/decklb/cli.py
@@ -28,7 +28,7 @@
 
     from decklb.net.service import Service
 
-    Service(reactor, _load(path)).run()
+    Service(reactor, _load(path), lambda: configuration.load(path)).run()
 
 
 @main.command()
--- a/decklb/net/directory.py
+++ b/decklb/net/directory.py
@@ -38,7 +38,7 @@
 class Directory(DatagramProtocol):
     """Keeps the list; `changed` gets the entries and the addresses each time it differs."""
 
-    transport: Any
+    transport: Any = None
 
     def __init__(self, clock: Clock, resolver: tuple[str, int] | None, draw: Callable[[int], int],
                  changed: Callable[[list[Entry], dict[str, tuple[str, int]]], None]) -> None:
@@ -52,31 +52,41 @@
         self._starts: dict[tuple[str, int], float] = {}
 
     def known(self, index: int, updates: list[dict[str, Any]]) -> None:
-        """The events of the start, in order."""
+        """The events of the start, in order. What can't be read raises and changes nothing."""
+        rows = dict(self.rows)
         for update in updates:
             news = update["endpoints"]
             if news.get("reset"):
-                self.rows.clear()
+                rows.clear()
             for x in news["instances"]:
                 host, _, port = x["hostPort"].rpartition(":")
                 phase = PHASES[x["lifecycle"]]
                 if phase is Phase.REMOVED:
-                    self.rows.pop(x["instanceId"], None)
+                    rows.pop(x["instanceId"], None)
                 else:
-                    self.rows[x["instanceId"]] = Row(
+                    rows[x["instanceId"]] = Row(
                         x["instanceId"], (host, int(port)), x.get("zone", ""), x.get("machineType", ""),
                         int(x.get("cell", 0)), phase, float(x.get("weight", 1)),
                         int(x.get("startedAtMs") or 0))
-        self.index = index
+        self.rows, self.index = rows, index
         self._tell()
 
+    def move(self, resolver: tuple[str, int] | None) -> None:
+        """Ask another directory from now on; the list and the number of its last event stay."""
+        self.resolver, self.ident = resolver, None  # an answer that the old one still sends is to no question of ours
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if self.transport is not None:
+            self._ask()
+
     def startProtocol(self) -> None:
         """The socket is open."""
         self._ask()
 
     def _ask(self) -> None:
         self.timer = None
-        if self.closed:
+        if self.closed or self.resolver is None:
             return
         self.ident = self.draw(1 << 16)
         self.timer = self.clock.call_later(TIMEOUT, self._ask)  # a lost question is asked anew
--- a/decklb/net/service.py
+++ b/decklb/net/service.py
@@ -1,16 +1,17 @@
-"""The process: builds the parts, opens the sockets, answers for readiness, and drains on SIGTERM."""
+"""The process: builds the parts, opens the sockets, answers for readiness, reloads on SIGHUP, drains on SIGTERM."""
 
 from __future__ import annotations
 
 import gc
 import random
 import signal
+from collections.abc import Callable
 from typing import Any
 
 from loguru import logger
 
 from decklb.bgp.speaker import Speaker
-from decklb.config import Config
+from decklb.config import Config, ConfigError
 from decklb.core.dispatcher import Dispatcher
 from decklb.core.ports import Timer
 from decklb.interface import Entry, Phase
@@ -34,8 +35,9 @@
 class Service:
     """One workload manager."""
 
-    def __init__(self, reactor: Any, config: Config) -> None:
-        self.reactor, self.config = reactor, config
+    def __init__(self, reactor: Any, config: Config, again: Callable[[], Config]) -> None:
+        """`again` reads the configuration anew, for each SIGHUP."""
+        self.reactor, self.config, self.again = reactor, config, again
         self.clock = ReactorClock(reactor)
         self.rng = random.Random(config.seed)
         self.engines: RespEngines | PgEngines
@@ -63,7 +65,7 @@
         if c.resolver is None:
             self.late = True
         else:
-            self.reactor.listenUDP(0, self.directory, interface=c.listen[0], maxPacketSize=65536)
+            self._open_directory()
             self.clock.call_later(HEARD, self._no_word)
         self.port = self.reactor.listenTCP(c.listen[1], self.front, backlog=512, interface=c.listen[0])
         self.listening = True
@@ -73,6 +75,30 @@
         logger.info("{} listens on {}:{}, {} clients at most", c.name, c.listen[0], self.port.getHost().port,
                     c.most_clients)
 
+    def _open_directory(self) -> None:
+        self.reactor.listenUDP(0, self.directory, interface=self.config.listen[0], maxPacketSize=65536)
+
+    def reload(self) -> None:
+        """SIGHUP: take the new directory and a newer list; the rest holds from the start on. No connection ends."""
+        if self.stopping:
+            return
+        try:
+            new = self.again()
+            if new.index > self.directory.index:
+                self.directory.known(new.index, new.updates)
+        except (ConfigError, LookupError, TypeError, ValueError) as error:
+            # Guards against a file that is half written or wrong: what serves goes on serving.
+            return logger.error("SIGHUP: configuration kept, the new one can't be used: {!r}", error)
+        kept = [name for name in ("name", "listen", "sockets", "settings", "limits", "postgres", "bgp")
+                if getattr(new, name) != getattr(self.config, name)]
+        if kept:
+            logger.warning("SIGHUP: a restart is needed for a change of {}", ", ".join(kept))
+        if new.resolver != self.directory.resolver:
+            self.directory.move(new.resolver)
+            if self.directory.transport is None:
+                self._open_directory()
+        logger.info("SIGHUP: configuration read, list {}, resolver {}", self.directory.index, new.resolver)
+
     def ready(self) -> bool:
         """Whether a request sent now would be served as well as any."""
         return self.listening and not self.stopping and self.up > 0 and (self.directory.heard or self.late)
@@ -120,6 +146,8 @@
 
     def run(self) -> None:
         """Serve until the end."""
+        # Before anybody can hear that we are ready: the default would end the process.
+        signal.signal(signal.SIGHUP, lambda *_: self.reactor.callFromThread(self.reload))
         self.start()
         gc.collect()
         gc.freeze()
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -6,6 +6,7 @@
 import json
 import os
 import re
+import signal
 import struct
 import subprocess
 import sys
@@ -66,12 +67,11 @@
 
     def __init__(self, config):
         self.folder = tempfile.TemporaryDirectory()
-        path = Path(self.folder.name) / "config.json"
-        path.write_text(json.dumps({"name": "n0", "listen": "127.0.0.1:0", "seed": "5", "settings": SETTINGS,
-                                    "limits": {"sockets": 256}} | config))
+        self.path = Path(self.folder.name) / "config.json"
+        self.configure(config)
         self.lines = []
         self.process = subprocess.Popen([sys.executable, "-m", "decklb", "serve"], cwd=ROOT,
-                                        env=os.environ | {"LB_CONFIG": str(path)},
+                                        env=os.environ | {"LB_CONFIG": str(self.path)},
                                         stderr=subprocess.PIPE, text=True)
         threading.Thread(target=self._read, daemon=True).start()
         wait_for(lambda: self.logged("listens on") or self.process.poll() is not None, "listening")
@@ -79,6 +79,15 @@
             raise AssertionError("the program did not start: " + "".join(self.lines))
         self.port = int(re.search(r"listens on [\d.]+:(\d+)", self.logged("listens on")).group(1))
 
+    def configure(self, config):
+        """Write the file, at the start or for a SIGHUP."""
+        self.path.write_text(json.dumps({"name": "n0", "listen": "127.0.0.1:0", "seed": "5", "settings": SETTINGS,
+                                         "limits": {"sockets": 256}} | config))
+
+    def reload(self, config):
+        self.configure(config)
+        self.process.send_signal(signal.SIGHUP)
+
     def _read(self):
         for line in self.process.stderr:
             self.lines.append(line)
