--- a/decklb/config.py
+++ b/decklb/config.py
@@ -15,6 +15,8 @@
 from decklb.settings import settings_from
 
 SOCKETS = 1024  # where no limit is told
+MEMORY = 256.0  # MB, likewise
+OWN = 28.0  # MB of the program itself under load
 SPARE = 16  # descriptors for the log, the reactor, the directory and the listening sockets
 
 Address = tuple[str, int]
@@ -32,6 +34,7 @@
     listen: Address
     seed: int
     sockets: int
+    memory: float  # MB
     settings: Settings
     limits: dict[str, Any]  # of the settings: connection limits, which decide nothing
     resolver: Address | None
@@ -42,8 +45,18 @@
 
     @property
     def most_clients(self) -> int:
-        """A third of the descriptors, less what others need."""
-        return max(1, (self.sockets - SPARE) // 3)
+        """Half of the descriptors: a third for usual clients, the rest for those that stay and say nothing."""
+        return max(1, (self.sockets - SPARE) // 2)
+
+    @property
+    def spare_clients(self) -> int:
+        """A sixth for more, while room is made. What is left is for engines."""
+        return max(1, (self.sockets - SPARE) // 6)
+
+    @property
+    def most_held(self) -> int:
+        """Bytes of all clients, read in part or not yet taken: a third of what the program itself leaves free."""
+        return int(max(1.0, (self.memory - OWN) / 3) * (1 << 20))
 
 
 def address(text: str) -> Address:
@@ -76,6 +89,7 @@
             name=raw.get("name") or os.environ.get("LB_NAME", "decklb"),
             listen=address(raw.get("listen") or os.environ.get("LB_LISTEN", "")),
             seed=int(raw.get("seed") or "0", 16), sockets=int(limits.get("sockets") or SOCKETS),
+            memory=float(limits.get("memory_mb") or MEMORY),
             settings=settings, limits=dict(raw["settings"].get("limits") or {}),
             resolver=address(raw["resolver"]) if raw.get("resolver") else None,
             index=int(known.get("index", 0)), updates=list(known.get("updates") or []),
--- a/decklb/net/frames.py
+++ b/decklb/net/frames.py
@@ -4,6 +4,7 @@
 
 import re
 import struct
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from decklb.core.ports import Work
@@ -46,10 +47,13 @@
     def __init__(self) -> None:
         self.buffer = bytearray()
 
-    def feed(self, data: bytes) -> list[Frame]:
-        """The frames that are whole now. Raises ProtocolError; nothing can be read after that."""
+    def feed(self, data: bytes) -> Iterator[Frame]:
+        """The frames that are whole now, one by one: what comes before a fault counts.
+
+        Raises ProtocolError; nothing can be read after that.
+        """
         self.buffer += data
-        frames, at = [], 0
+        at = 0
         while len(self.buffer) - at >= 4:
             length = int.from_bytes(self.buffer[at : at + 4], "big")
             if not LEAST <= length <= MOST:  # checked before waiting for what it promises
@@ -57,10 +61,9 @@
             if len(self.buffer) - at < 4 + length:
                 break
             _, kind, stream = HEAD.unpack_from(self.buffer, at)
-            frames.append(Frame(kind, stream, bytes(self.buffer[at + 9 : at + 4 + length])))
+            yield Frame(kind, stream, bytes(self.buffer[at + 9 : at + 4 + length]))
             at += 4 + length
         del self.buffer[:at]
-        return frames
 
 
 def pack(kind: int, stream: int, payload: bytes = b"") -> bytes:
--- a/decklb/net/front.py
+++ b/decklb/net/front.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -16,8 +17,14 @@
 
 MOST_STREAMS = 32  # requests open on one connection
 MOST_UNREAD = 32 * 52_000  # bytes that one client may leave unread: as much as its open requests can bring
-MOST_HELD = 32 << 20  # bytes of all connections, read in part or not yet taken by their clients
-AWAY = 500.0  # ms that a client turned away by the front itself had better wait
+AWAY = 500.0  # ms that a client turned away by the front itself had better wait, where the settings allow as much
+# Whoever says nothing readable is owed an end within 3 s of connecting; both have to begin well before.
+FIRST, HALF = 2200.0, 2200.0  # ms from connecting to a first whole message, from a message's first byte to its last
+LINGER = 3000.0  # ms that what still comes is read and thrown away after an error: a reset could overtake it
+SETTLED = 30.0  # ms in which a new connection says something if it ever does soon
+SWEEP, RETRY = 100.0, 10.0  # ms between looks at what is overdue; between tries to find places
+CROWDED = 200.0  # ms without a place after which newcomers come in to be refused
+ACCEPTS = 10  # connections taken in one go
 
 
 class Answer:
@@ -53,17 +60,17 @@
         self.unread = 0  # bytes that wait for a slow reader
         self.stuck = False
         self.held = 0  # what this connection adds to the front's sum
+        self.spoken = self.ending = False  # a whole message has come; nothing more is read
+        self.crowded = False  # it came when every place was in use, and is refused
         self.reason = "client-closed"
         self.taken = 0
 
     def connectionMade(self) -> None:
-        """Keep to the limit on descriptors: a third is for clients."""
+        """Find it a place."""
         self.transport.setTcpNoDelay(True)
-        self.front.clients.add(self)
         self.transport.registerProducer(self, True)
-        if len(self.front.clients) > self.front.most_clients:
-            self.close("too-many-connections")
-        elif self.front.closing:
+        self.front.joined(self)
+        if self.front.closing:
             self.go_away()
 
     # The transport tells whether the client reads what it is sent.
@@ -82,19 +89,23 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Frames, split anywhere."""
+        if self.ending:
+            return
+        whole = False
         try:
             for frame in self.reader.feed(data):
+                self.spoken = whole = True
                 self._frame(frame)
         except ProtocolError as error:
-            self._error(error.reason)
+            return self.error(error.reason)
+        self.front.file(self, whole)
         self._hold()
 
     def _frame(self, frame: frames.Frame) -> None:
         if frame.type == frames.REQUEST:
             self._request(frame)
         elif frame.type == frames.GONE:
-            request = self.open.pop(frame.stream, None)
-            if request is not None:
+            if (request := self._release(frame.stream)) is not None:
                 self.front.dispatcher.abandon(request)
             self._done()
         elif frame.type == frames.ASK_READY:
@@ -110,17 +121,26 @@
         self.open[stream] = None
         try:
             work = frames.read_request(frame.payload, self.front.dispatcher.settings)
+            if (other := self.front.ids.get(work.rid)) is not None and other.work.statement != work.statement:
+                raise BadRequest("rid is open with another statement")  # engines know requests by their ids
         except BadRequest as error:
             return self.answer(stream, frames.FAILED, {"reason": str(error)})
-        if len(self.open) > MOST_STREAMS or self.front.closing:
-            return self.answer(stream, frames.REFUSED, {"backoff": str(round(AWAY))})
+        if len(self.open) > MOST_STREAMS or self.front.closing or self.crowded:
+            return self.answer(stream, frames.REFUSED, self.front.away)
         self.taken += 1
-        self.open[stream] = self.front.dispatcher.submit(work, Answer(self, stream))
+        self.open[stream] = self.front.ids[work.rid] = self.front.dispatcher.submit(work, Answer(self, stream))
+
+    def _release(self, stream: int) -> Request | None:
+        """The stream is free again; its request, if one was taken on it."""
+        request = self.open.pop(stream, None)
+        if request is not None and self.front.ids.get(request.work.rid) is request:
+            del self.front.ids[request.work.rid]
+        return request
 
     def answer(self, stream: int, code: int, fields: dict[str, str], body: bytes = b"") -> None:
         """The one answer on a stream, whole; nothing if the client has gone."""
         if stream in self.open:
-            del self.open[stream]
+            self._release(stream)
             self._write(frames.pack_answer(stream, code, fields, body))
             self._done()
 
@@ -135,36 +155,65 @@
         held = self.unread + len(self.reader.buffer)
         self.front.held += held - self.held
         self.held = held
-        if held and (self.unread > MOST_UNREAD or self.front.held > MOST_HELD):
-            self.reason = "slow-reader" if self.unread else "too-much-held"
-            self.transport.abortConnection()
-
-    def _error(self, reason: str) -> None:
-        """Say what was wrong, under no request, and end."""
+        if self.unread > MOST_UNREAD:
+            self.abort("slow-reader")
+        elif self.front.held > self.front.most_held:
+            max(self.front.clients, key=lambda c: c.held).abort("too-much-held")
+
+    def error(self, reason: str) -> None:
+        """Say what was wrong, under no request, and end. What is open gets its one answer first."""
+        self.reason, self.ending = reason, True
+        for stream, request in list(self.open.items()):
+            if request is not None:
+                self.front.dispatcher.abandon(request)
+            self.answer(stream, frames.FAILED, {"reason": reason})
         self._write(frames.pack_answer(0, frames.FAILED, {"reason": reason}))
-        self.close(reason)
+        self.reader = frames.FrameReader()
+        self._hold()
+        self.transport.unregisterProducer()
+        # Only this half is closed: closing with bytes unread would send a reset, which can overtake what was said.
+        self.transport.loseWriteConnection()
+        self.front.file(self)
 
     def go_away(self) -> None:
         """No new request here; close once what is open has its answer."""
-        self._write(frames.pack(frames.GO_AWAY, 0))
-        self._done()
+        if not self.ending:
+            self._write(frames.pack(frames.GO_AWAY, 0))
+            self._done()
 
     def _done(self) -> None:
-        if self.front.closing and not self.open:
+        if self.open or self.ending:
+            return
+        if self.front.closing:
             self.close("drained")
+        else:
+            self.front.file(self)
+
+    def heard(self) -> bool:
+        """Whether something that it said lies unread."""
+        try:
+            return bool(self.transport.getHandle().recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
 
     def close(self, reason: str) -> None:
         """End the connection once what was written has gone."""
-        self.reason = reason
-        self.transport.unregisterProducer()
-        self.transport.loseConnection()
+        if not self.ending:
+            self.reason, self.ending = reason, True
+            self.transport.unregisterProducer()
+            self.transport.loseConnection()
+            self.front.file(self)
+
+    def abort(self, reason: str) -> None:
+        """End it with what was not read or written."""
+        if not self.ending:
+            self.reason, self.ending = reason, True
+        self.transport.abortConnection()
 
     def connectionLost(self, reason: Failure | None = None) -> None:
         """Free all that this client waited for."""
-        self.front.clients.discard(self)
-        self.front.held -= self.held
-        self.held = 0
-        left, self.open = [r for r in self.open.values() if r is not None], {}
+        self.front.left(self)
+        left = [r for r in map(self._release, list(self.open)) if r is not None]
         for request in left:
             self.front.dispatcher.abandon(request)
         if self.reason == "client-closed" and reason is not None and reason.type is not ConnectionDone:
@@ -175,20 +224,156 @@
 
 
 class Front(ServerFactory):
-    """Makes a Client for each connection and knows how many there are."""
+    """Makes a Client for each connection and knows which of them may go when places run out.
+
+    A client that asked once and stays is welcome while there is room; one that never said anything is not.
+    """
 
     noisy = False
 
-    def __init__(self, dispatcher: Dispatcher, ready: Callable[[], bool], most_clients: int) -> None:
-        self.dispatcher, self.ready, self.most_clients = dispatcher, ready, most_clients
+    def __init__(self, dispatcher: Dispatcher, ready: Callable[[], bool], most_clients: int, spare_clients: int,
+                 most_held: int) -> None:
+        self.dispatcher, self.ready = dispatcher, ready
+        self.most_clients, self.spare_clients, self.most_held = most_clients, spare_clients, most_held
+        s = dispatcher.settings
+        wait = min(AWAY, s.max_retry_after) if s.retry_after else 0.0
+        self.away = {"backoff": str(round(wait))} if wait else {}
         self.clients: set[Client] = set()
+        # Connections by what they wait for, with the time since when, oldest first; each is in one of these or in
+        # none, and none has an open request but one whose message is half sent.
+        self.silent: dict[Client, float] = {}
+        self.half: dict[Client, float] = {}
+        self.idle: dict[Client, float] = {}
+        self.lingering: dict[Client, float] = {}
+        self.ids: dict[str, Request] = {}  # open requests by their clients' ids
         self.held = 0
         self.closing = False
+        self.port: Any = None
+        self.paused = self.overrun = self._watching = False
+
+    def listens(self, port: Any) -> None:
+        """Where connections come in."""
+        self.port = port
+        port.numberAccepts = ACCEPTS
 
     def buildProtocol(self, addr: object) -> Client:
         """One object for a connection."""
         return Client(self)
 
+    # Places.
+
+    def joined(self, client: Client) -> None:
+        """A new connection. Guards the descriptors, and usual clients against those that only hold places."""
+        self.clients.add(client)
+        self.silent[client] = self.dispatcher.clock.now()
+        self._watch()
+        if len(self.clients) > self.most_clients:
+            client.crowded = self.overrun
+            self._make_room()
+
+    def left(self, client: Client) -> None:
+        """A connection has ended."""
+        self.clients.discard(client)
+        self._forget(client)
+        self.held -= client.held
+        client.held = 0
+        if self.paused:
+            self._make_room()
+
+    def file(self, client: Client, whole: bool = False) -> None:
+        """File a connection anew after something came or went; `whole`: a message has ended just now."""
+        now = self.dispatcher.clock.now()
+        if client.ending:
+            self._forget(client)
+            self.lingering[client] = now
+            return self._watch()
+        if not client.spoken:
+            return
+        if client.reader.buffer:
+            if whole or client not in self.half:
+                self._forget(client)
+                self.half[client] = now
+        else:
+            self._forget(client)
+            if not client.open:
+                self.idle[client] = now
+        if len(self.clients) > self.most_clients:
+            self._make_room()
+        self._watch()
+
+    def _forget(self, client: Client) -> None:
+        for group in (self.silent, self.half, self.idle, self.lingering):
+            group.pop(client, None)
+
+    def _make_room(self) -> None:
+        """Close what waits for nothing: what was refused before, the silent after a while, the longest idle.
+
+        Those that have spoken make room for others that have, not for the silent.
+        """
+        settled = self.dispatcher.clock.now() - SETTLED
+        while len(self.clients) > self.most_clients:
+            if (client := self._oldest(self.lingering, settled)) is not None:
+                client.abort(client.reason)
+            elif (client := self._oldest(self.silent, settled)) is not None:
+                if client.heard():  # it is we who were held up
+                    del self.silent[client]
+                    self.silent[client] = settled + SETTLED
+                    continue
+                client.close("evicted-silent")
+            elif len(self.clients) - len(self.silent) > self.most_clients and self.idle:
+                client = next(iter(self.idle))
+                client.close("evicted-idle")
+            else:
+                break
+            self.clients.discard(client)
+        # What comes when no place is left waits in the machine's queue: within SETTLED somebody may go.
+        full = len(self.clients) >= self.most_clients + self.spare_clients
+        self.overrun = self.overrun and full
+        self._pause(full)
+
+    def _oldest(self, group: dict[Client, float], before: float) -> Client | None:
+        """The first of a group that is in it since before then and is not on its way out."""
+        return next((c for c, when in group.items() if when < before and c in self.clients), None)
+
+    def _pause(self, full: bool) -> None:
+        if self.port is None or self.closing:
+            return
+        self.port.numberAccepts = ACCEPTS  # the reactor raises it under a flood, and accepts the lot before it pauses
+        if full != self.paused:
+            self.paused = full
+            if full:
+                self.port.pauseProducing()
+                self.dispatcher.clock.call_later(RETRY, lambda: self._again(1))
+            else:
+                self.port.resumeProducing()
+
+    def _again(self, tries: int) -> None:
+        if self.paused:
+            self._make_room()
+        if self.paused and tries * RETRY >= CROWDED:  # everybody has a request open: some more come in, to be refused
+            self.overrun = True
+            self._pause(False)
+        elif self.paused:
+            self.dispatcher.clock.call_later(RETRY, lambda: self._again(tries + 1))
+
+    def _watch(self) -> None:
+        if not self._watching:
+            self._watching = True
+            self.dispatcher.clock.call_later(SWEEP, self._sweep)
+
+    def _sweep(self) -> None:
+        """End what is overdue."""
+        now = self.dispatcher.clock.now()
+        for group, limit, reason in ((self.silent, FIRST, "no-message"), (self.half, HALF, "half-message"),
+                                     (self.lingering, LINGER, "")):
+            for client in [c for c, since in group.items() if now - since > limit]:
+                client.error(reason) if reason else client.abort(client.reason)
+        self._watching = bool(self.silent or self.half or self.lingering)
+        if self._watching:
+            self.dispatcher.clock.call_later(SWEEP, self._sweep)
+
+    # The end of the process.
+
     def announce(self) -> None:
         """Tell every client to send nothing new, and still take what comes."""
         for client in list(self.clients):
--- a/decklb/net/service.py
+++ b/decklb/net/service.py
@@ -48,7 +48,8 @@
             self.engines = PgEngines(reactor, self.clock, config.postgres)
         self.dispatcher = Dispatcher(config.settings, config.seed, self.clock, self.engines)
         if config.postgres is None:
-            self.front = Front(self.dispatcher, self.ready, config.most_clients)
+            self.front = Front(self.dispatcher, self.ready, config.most_clients, config.spare_clients,
+                               config.most_held)
         else:
             self.front = PgFront(self.dispatcher, config.postgres, self.rng.randrange, config.most_clients)
         self.speaker = Speaker(reactor, self.clock, config.bgp) if config.bgp is not None else None
@@ -68,6 +69,7 @@
             self._open_directory()
             self.clock.call_later(HEARD, self._no_word)
         self.port = self.reactor.listenTCP(c.listen[1], self.front, backlog=512, interface=c.listen[0])
+        self.front.listens(self.port)
         self.listening = True
         if self.speaker is not None:
             self.speaker.start()
@@ -89,7 +91,7 @@
         except (ConfigError, LookupError, TypeError, ValueError) as error:
             # Guards against a file that is half written or wrong: what serves goes on serving.
             return logger.error("SIGHUP: configuration kept, the new one can't be used: {!r}", error)
-        kept = [name for name in ("name", "listen", "sockets", "settings", "limits", "postgres", "bgp")
+        kept = [name for name in ("name", "listen", "sockets", "memory", "settings", "limits", "postgres", "bgp")
                 if getattr(new, name) != getattr(self.config, name)]
         if kept:
             logger.warning("SIGHUP: a restart is needed for a change of {}", ", ".join(kept))
--- a/decklb/pg/front.py
+++ b/decklb/pg/front.py
@@ -473,6 +473,9 @@
         self.closing = False
         self._count = 0
 
+    def listens(self, port: object) -> None:
+        """Sessions that are too many are told so by an error; none waits outside."""
+
     def buildProtocol(self, addr: object) -> Session:
         """One object for a connection."""
         return Session(self)
