Leave out engines by errors of their own; end drains before SIGKILL; follow ceasing notes

Checked: state.Engine.slow of the erring engine goes to 15 at once, but _route looks at it only among equals, and an engine of quick errors has nothing running, so it wins the two choices. Bad clients' errors mark every engine the same way and use the ration of further attempts. Ruled out: the sockets; errors arrive as sent, and no connection ends. At fault: _verdict and _may_repeat in rules.py. Also _overdue: after one note an attempt whose answer never comes was never taken for lost; Keys.rest kept each key for good; at SIGTERM requests up to 20 s long outlasted SIGKILL. Now: an error counts against its engine only when another engine served that request; over half of them leaves it out for 0.5 to 4 s, then one trial. Two errors end a request. api.Closing answers what is open 2.9 s after SIGTERM.

--- a/decklb/core/dispatcher.py
+++ b/decklb/core/dispatcher.py
@@ -111,6 +111,10 @@
         """The whole list of engines, as last heard."""
         self._post(api.Members(entries, True))
 
+    def close(self) -> None:
+        """The process is about to end: the module answers all that is open."""
+        self._post(api.Closing())
+
     # What attempts call.
 
     def attempt_ended(self, a: Attempt, outcome: Outcome, result: bytes) -> None:
--- a/decklb/interface.py
+++ b/decklb/interface.py
@@ -215,6 +215,11 @@
     label: str
 
 
+@dataclass(slots=True)
+class Closing:
+    """This front is about to end: what is open gets its final answer now."""
+
+
 @dataclass(slots=True)
 class Datagram:
     """A message of a peer."""
@@ -223,7 +228,7 @@
     data: bytes
 
 
-Event = Members | Arrival | Started | Verdict | Progress | Probed | Left | Tick | Datagram
+Event = Members | Arrival | Started | Verdict | Progress | Probed | Left | Tick | Closing | Datagram
 
 
 @dataclass(slots=True)
--- a/decklb/net/service.py
+++ b/decklb/net/service.py
@@ -27,6 +27,8 @@
 # is open, or after a long time without such a moment. Requests leave no circles behind, so little is left to them.
 COLLECT = (5000, 10, 1_000_000)
 IDLE_COLLECT, FORCED_COLLECT = 30_000.0, 900_000.0  # ms between looks; at the latest
+# SIGKILL comes after SIGTERM no sooner than the longest deadline, counted as 3 s at the most, and 0.7 s more.
+LONGEST, LAST_CALL = 3000.0, 100.0  # ms; what is open so long before that is answered then
 GRACE = 700.0  # ms after SIGTERM in which clients that do not know yet are still taken in
 HEARD = 3000.0  # ms after which the list of the start must do where the directory does not answer
 FLUSH = 500.0  # ms for last answers to leave
@@ -129,6 +131,8 @@
         self._say()
         self.front.announce()
         self.clock.call_later(GRACE, self._drain)
+        longest = max(c.deadline for c in self.config.settings.classes.values())
+        self.clock.call_later(max(GRACE, min(LONGEST, longest) - LAST_CALL), self.dispatcher.close)
 
     def _drain(self) -> None:
         self.listening = False
--- a/decklb/rules.py
+++ b/decklb/rules.py
@@ -38,6 +38,8 @@
 COLD_SAFE = 0.42  # share of its part of the fall budget (busy cores) that one front uses; half is for chance
 OUTLIER = 4.0  # times the usual size of its class at which a query runs at the lowest priority
 RUNAWAY = 2.5  # times the usual of its class, or its aim, that the rest of a query takes under a bad plan
+FAULTY, BLAME = 0.5, 0.2  # share of errors of its own from which an engine is left out; weight of one
+ERRORS = 2  # after so many a request gets no further try
 TRUST = 20  # answers before learned figures replace guesses
 SHRINK = 0.5  # power of an estimate that is believed: it scatters about as widely as what it estimates
 QUANTILE = 0.96  # of the memory needed over estimated: the rest spill a little, more would starve others
@@ -87,6 +89,11 @@
                     self._probed(e)
                 case api.Left() if e.req in self.requests:
                     self._close(self.requests[e.req])
+                case api.Closing():
+                    for r in [r for r in self.requests.values() if not r.done]:
+                        out = [a.number for a in r.legs if a.outcome is None and self.s.cancelling]
+                        self.actions += [api.Cancel(r.a.req, number) for number in out]
+                        self._answer(r)
                 case api.Started() if e.req in self.requests:
                     self.requests[e.req].stream = True
                 case api.Datagram():
@@ -149,6 +156,9 @@
         """The final answer, at once: refused where a retry is harmless, else failed."""
         if r.out() and not r.done:  # only its further copy is given up
             return r.tenant.pull(r)
+        self._answer(r)
+
+    def _answer(self, r: Request) -> None:
         harmless = r.may_have_run() is None or r.spec.effect is Effect.SAFE
         if harmless or r.spec.effect is Effect.KEYED and r.spec.group == "all":
             wait = min(self.s.max_retry_after, r.spec.aim) * self.s.retry_after
@@ -173,12 +183,12 @@
         if e.outcome is Outcome.GOOD:
             self._learn(r, x, e)
         elif e.outcome is Outcome.NOCONN or e.outcome is Outcome.LATE and x.trial:  # gone; it comes back cold
-            if self.now >= x.down_until:
-                x.back_off = min(DOWN_MAX * PERIOD, max(DOWN_MIN * PERIOD, 2 * x.back_off))
-                x.down_until, x.trial = self.now + x.back_off, True
+            self._leave_out(x)
             x.cold_from = max(x.cold_from, self.now)
         elif e.outcome is Outcome.BAD:  # quick errors leave an engine idle, so it would draw more and more
             self._mark(x, JAM)
+            if x.trial:
+                self._leave_out(x)
         elif e.outcome is Outcome.RST and not x.out:  # a death; the network resets single ones
             x.down_until = max(x.down_until, self.now + DOWN_MIN * PERIOD)
         if r.done or e.finished:
@@ -188,9 +198,14 @@
         elif not r.stream and not r.out() and not r.queued:
             self._enqueue(r) if self._may_repeat(r) else self._give_up(r)
 
+    def _leave_out(self, x: Engine) -> None:  # until one trial after a while, longer each time
+        if self.now >= x.down_until:
+            x.back_off = min(DOWN_MAX * PERIOD, max(DOWN_MIN * PERIOD, 2 * x.back_off))
+            x.down_until, x.trial = self.now + x.back_off, True
+
     def _note(self, r: Request, leg: Attempt, e: api.Progress) -> None:
         """A bad plan, drawn anew each time, shows as a share far behind: once, another try is quicker."""
-        leg.noted = True
+        leg.noted = self.now
         if e.kind == 1 and 0 < e.level < 1 and not leg.number and leg.outcome is None:
             rest = (self.now - leg.sent) * (1 - e.level) / e.level
             if rest > RUNAWAY * max(self._hold(r), r.spec.aim):
@@ -204,6 +219,13 @@
     def _learn(self, r: Request, x: Engine, e: api.Verdict) -> None:
         u, threads = r.usual, r.spec.threads
         x.trial, x.back_off, x.down_until, x.heard = False, 0.0, 0.0, self.now
+        x.faults -= BLAME * x.faults
+        # An error is the engine's own only where another could serve the request: what no engine can use
+        # must leave none out.
+        for y in [a.engine for a in r.legs if a.outcome is Outcome.BAD and a.engine is not x]:
+            y.faults += BLAME * (1 - y.faults)
+            if y.faults > FAULTY:
+                self._leave_out(y)
         u.n += 1
         alone = e.rtt / self._size(r)
         u.alone += max(EWMA, 1.0 / u.n) * (alone - u.alone)
@@ -238,6 +260,8 @@
         ran, s = r.may_have_run(), self.s
         if r.done or r.stream or len(r.legs) >= s.max_attempts or self._hopeless(r):
             return False
+        if sum(a.outcome is Outcome.BAD for a in r.legs) >= ERRORS:  # the ration is for all
+            return False
         unsafe, keyed = r.spec.effect is Effect.UNSAFE, r.spec.effect is Effect.KEYED
         if ran and (unsafe or keyed and self.now > ran.sent + r.spec.memory_span - s.tick):
             return False
@@ -282,6 +306,7 @@
             if not r.done and self._hopeless(r):
                 self._give_up(r)
         self._overdue()
+        self.keys.rested(self.now)
         if 0 < self.relist <= self.now:
             self.relist = 0.0
             self.actions.append(api.Watch())
@@ -478,9 +503,10 @@
         its time is lost: its threads no longer count, and a copy or, called off, another try may go."""
         s = self.s
         for a in [a for x in self.fleet.up() for a in x.out.values()]:
-            r, age, limit = a.request, self.now - a.sent, NOTES * s.progress or LOST * self._hold(a.request)
+            r, last = a.request, max(a.sent, a.noted)  # notes that cease tell that its answer has gone astray
+            age, limit = self.now - last, NOTES * s.progress or LOST * self._hold(r)
             proven = s.progress or self.loss >= LOSSY
-            if a.lost or a.noted or age < limit or a.engine.heard < a.sent + age / 2 or not proven:
+            if a.lost or age < limit or a.engine.heard < last + age / 2 or not proven:
                 continue
             a.lost = True
             a.engine.sort(a, a.size).drop(a)
--- a/decklb/state.py
+++ b/decklb/state.py
@@ -56,6 +56,7 @@
     asked: float = LONG_AGO  # when a probe went out that has no answer yet
     back_off: float = 0.0
     trial: bool = False  # failed, and not yet answered since
+    faults: float = 0.0  # share of its answers of late that were errors of its own
     cold_from: float = LONG_AGO
     sent: deque[tuple[float, float]] = field(default_factory=deque)  # (time, work) of sends
     ranks: dict[int, bytes] = field(default_factory=dict)  # hash with each group of tables
@@ -142,7 +143,7 @@
     size: float = 1.0  # against the usual of its class, in steps of two
     outcome: Outcome | None = None
     lost: bool = False  # taken for lost
-    noted: bool = False  # a progress note has come
+    noted: float = LONG_AGO  # when the last progress note came
 
 
 @dataclass(slots=True, eq=False)
@@ -312,6 +313,10 @@
         head = line[0]
         return None if head.done or head.queued or head.legs else head
 
+    def rested(self, now: float) -> None:
+        """Forget rests that are over: keys are always new."""
+        self.rest = {key: until for key, until in self.rest.items() if until > now}
+
     def waiting(self) -> list[Request]:
         """Requests behind another of their key."""
         return [r for line in self.lines.values() for r in line if not (r.done or r.queued or r.legs)]
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -356,6 +356,19 @@
             self.assertEqual(frame.type, frames.GO_AWAY)
         self.assertEqual(program.process.wait(DEADLINE), 0)
 
+    def test_drain_answers_what_would_outlast_it_and_exits_before_it_is_killed(self):
+        program = self.program(known=known(self.engine.port))
+        client = Client(program.port)
+        client.send(request(1, b"hang", budget="8000"), request(2, b"hang", budget="8000", method="load"))
+        wait_for(lambda: len(self.engine.said(b"do")) == 2, "do")
+        program.process.terminate()
+        found = {}
+        while (frame := client.next()) is not None:
+            if frame.type == frames.ANSWER:
+                found[frame.stream] = frame.payload[0], len(self.engine.said(b"undo"))
+        self.assertEqual(found, {1: (frames.REFUSED, 2), 2: (frames.FAILED, 2)})
+        self.assertEqual(program.process.wait(DEADLINE), 0)
+
     def crowd(self, sockets=25):  # (25 - 16) // 2 = 4 places, one to spare
         return self.program(known=known(self.engine.port), limits={"sockets": sockets})
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -692,3 +692,66 @@
         for s in sent(g.step(1.0 + i, [ask(f"r{i}")])):
             g.step(1.5 + i, [end(s, Outcome.GOOD, rtt=100.0 if i < 30 else 4000.0)])
     assert g.usual["safe"].work < 200.0 < g.usual["safe"].hold
+
+
+def test_an_engine_that_errs_alone_is_left_out_and_comes_back_by_a_trial():
+    """Its quick errors leave it idle, so it got most of the work, and the ration of further attempts went with it."""
+    g, now, tried = gateway(engines=2, extra_floor=100.0, extra_ratio=0.0), 2.0, 0
+    first = sent(g.step(1.0, [ask(f"f{i}") for i in range(8)]))
+    g.step(2.0, [end(s, Outcome.GOOD) for s in first if s.engine == "e0"])  # the others keep e1 the busier one
+    for i in range(40):
+        now += 20.0
+        (send,) = sent(g.step(now, [ask(f"q{i}")]))
+        if bad := send.engine == "e0":
+            tried += 1
+            (send,) = sent(g.step(now + 1, [end(send, Outcome.BAD, rtt=1.0)]))
+        g.step(now + 2, [end(send, Outcome.GOOD, leg=int(bad))])
+    assert 4 <= tried <= 6
+    while send.engine == "e1":
+        now += 20.0
+        (send,) = sent(g.step(now, [ask(f"t{now}")]))
+        g.step(now + 1, [end(send, Outcome.GOOD)])
+    assert now < 3000.0 and not g.fleet.engines["e0"].trial
+
+
+def test_what_no_engine_can_use_leaves_none_out_and_is_tried_twice():
+    g, now = gateway(engines=3), 0.0
+    for i in range(30):
+        now += 20.0
+        actions, sends = g.step(now, [ask(f"q{i}")]), 0
+        while sent(actions):
+            (send,) = sent(actions)
+            actions, sends = g.step(now + sends + 1, [end(send, Outcome.BAD, leg=sends, rtt=1.0)]), sends + 1
+        assert sends == 2 and len(of(api.Refuse, actions)) == 1
+    assert not any(x.trial for x in g.fleet.up())
+
+
+def test_notes_that_cease_tell_that_the_answer_went_astray():
+    g = gateway(engines=1, progress=100.0, cancelling=True)
+    g.step(1.0, [ask("lost")])
+    (other,) = sent(g.step(2.0, [ask("quick")]))
+    for at in (100.0, 200.0, 300.0):
+        assert not of(api.Cancel, g.step(at, [api.Progress("lost", 0, 1, 0.1 + at / 1000)]))
+    g.step(480.0, [end(other, Outcome.GOOD, rtt=470.0)])
+    assert of(api.Cancel, g.step(560.0, []))
+
+
+def test_a_front_that_ends_answers_all_that_is_open():
+    g = gateway(SAFE, UNSAFE, engines=1, cancelling=True, cores=1)
+    g.step(1.0, [ask("a"), ask("u", "unsafe")] + [ask(f"q{i}") for i in range(8)])
+    actions = g.step(2.0, [api.Closing()])
+    answers = {a.req: type(a) for a in of(api.Refuse, actions) + of(api.Fail, actions)}
+    assert set(answers) == {r for r in answers} and answers["a"] is api.Refuse and not sent(actions)
+    out = {a.req for a in of(api.Cancel, actions)}
+    assert out and answers["u"] is (api.Fail if "u" in out else api.Refuse)
+    assert all(r.done for r in g.requests.values())
+
+
+def test_keys_that_rested_are_forgotten():
+    """Keys are always new: each end in doubt left its key behind for good."""
+    g = gateway(SERIAL, engines=2, settle=300.0)
+    (send,) = sent(g.step(1.0, [ask("a", "serial", key="k")]))
+    g.step(2.0, [end(send, Outcome.CXL, finished=True)])
+    assert "k" in g.keys.rest
+    g.step(500.0, [])
+    assert not g.keys.rest
