Give PostgreSQL sessions the same deadlines and ends; look for unread bytes before closing

Seen: the faults of the platform's front stand in pg/front.py too: a connection that begins no session holds its place for good, a half message is waited for without end, and an error to an oversized message is closed with bytes unread, so a reset can overtake it (each of the three new tests failed before). Also, in both fronts: a connection about to be closed as idle, silent or drained may have a request in its socket that we were too busy to read; only one that crosses within 50 ms is sent again, so the socket is looked at first.

--- a/decklb/net/front.py
+++ b/decklb/net/front.py
@@ -27,6 +27,14 @@
 ACCEPTS = 10  # connections taken in one go
 
 
+def unread(transport: Any) -> bool:
+    """Whether bytes have arrived that nobody has read yet, as when the process was held up."""
+    try:
+        return bool(transport.getHandle().recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
+
+
 class Answer:
     """The answer sink of one stream."""
 
@@ -184,17 +192,14 @@
     def _done(self) -> None:
         if self.open or self.ending:
             return
-        if self.front.closing:
+        if self.front.closing and not self.heard():  # what lies unread is answered first
             self.close("drained")
         else:
             self.front.file(self)
 
     def heard(self) -> bool:
         """Whether something that it said lies unread."""
-        try:
-            return bool(self.transport.getHandle().recv(1, socket.MSG_PEEK))
-        except OSError:
-            return False
+        return unread(self.transport)
 
     def close(self, reason: str) -> None:
         """End the connection once what was written has gone."""
@@ -322,6 +327,10 @@
                 client.close("evicted-silent")
             elif len(self.clients) - len(self.silent) > self.most_clients and self.idle:
                 client = next(iter(self.idle))
+                if client.heard():
+                    # A request that was written long before we close would be lost; it has only not been read yet.
+                    self._forget(client)
+                    continue
                 client.close("evicted-idle")
             else:
                 break
@@ -367,7 +376,10 @@
         for group, limit, reason in ((self.silent, FIRST, "no-message"), (self.half, HALF, "half-message"),
                                      (self.lingering, LINGER, "")):
             for client in [c for c, since in group.items() if now - since > limit]:
-                client.error(reason) if reason else client.abort(client.reason)
+                if not reason:
+                    client.abort(client.reason)
+                elif not client.heard():
+                    client.error(reason)
         self._watching = bool(self.silent or self.half or self.lingering)
         if self._watching:
             self.dispatcher.clock.call_later(SWEEP, self._sweep)
--- a/decklb/pg/front.py
+++ b/decklb/pg/front.py
@@ -18,7 +18,9 @@
 from twisted.python.failure import Failure
 
 from decklb.core.dispatcher import EARLY, Dispatcher, Request
+from decklb.core.ports import Timer
 from decklb.interface import Effect
+from decklb.net.front import FIRST, HALF, LINGER, unread
 from decklb.net.tables import table_group
 from decklb.pg import messages as pg
 from decklb.pg.engines import PgWork
@@ -99,12 +101,27 @@
         self.unread = 0
         self.taken = self.abandoned = 0
         self.reason = "client-closed"
+        self.timer: Timer | None = None  # ends what begins no session, stops halfway or does not go
 
     def connectionMade(self) -> None:
         """Nothing is said before the client's first message."""
         self.transport.setTcpNoDelay(True)
-        self.front.sessions.add(self)
         self.transport.registerProducer(self, True)
+        self._wait(FIRST, self._overdue)
+        self.front.joined(self)
+
+    def _wait(self, delay: float, call: Callable[[], None] | None) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = None if call is None else self.front.dispatcher.clock.call_later(delay, call)
+
+    def _overdue(self) -> None:
+        self.timer = None
+        self._fatal(PgError(pg.PROTOCOL_VIOLATION, "the message did not become whole in time", fatal=True))
+
+    def _gone(self) -> None:
+        self.timer = None
+        self.transport.abortConnection()
 
     # The transport tells whether the client reads what it is sent.
 
@@ -122,8 +139,12 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Messages, split anywhere."""
+        if self.closed:  # read and thrown away: closing with bytes unread would send a reset
+            return
+        whole = False
         try:
             for message in self.reader.feed(data):
+                whole = True
                 if self.closed:
                     return
                 if self.reader.startup:
@@ -133,7 +154,13 @@
                 self.queued += len(message.raw)
             self._pump()
         except PgError as error:
-            self._fatal(error)
+            return self._fatal(error)
+        if self.parameters is None or self.closed:
+            return
+        if not self.reader.buffer:
+            self._wait(0.0, None)
+        elif whole or self.timer is None:
+            self._wait(HALF, self._overdue)
 
     # The start of a session.
 
@@ -167,6 +194,7 @@
         except PgError as error:
             raise PgError(error.state, error.message, error.hint, fatal=True) from None
         self.parameters, self.reader.startup = parameters, False
+        self.front.starting.pop(self, None)
         self.backend = self.front.register(self)
         out = pg.pack(b"R", b"\0\0\0\0")
         unknown = [n for n in told if n.startswith("_pq_.")]
@@ -424,7 +452,13 @@
 
     def _fatal(self, error: PgError) -> None:
         self._write(pg.pack_error(error.state, error.message, error.hint, "FATAL"))
-        self.close(error.state)
+        self.closed, self.reason = True, error.state
+        self._free()
+        self.reader.buffer.clear()
+        self.queue.clear()
+        self.transport.unregisterProducer()
+        self.transport.loseWriteConnection()
+        self._wait(LINGER, self._gone)
 
     def _write(self, data: bytes) -> None:
         self.transport.write(data)
@@ -437,7 +471,9 @@
     def close(self, reason: str) -> None:
         """End the connection once what was written has gone."""
         self.closed, self.reason = True, reason
+        self.front.starting.pop(self, None)
         self._free()
+        self._wait(LINGER, self._gone)
         self.transport.unregisterProducer()
         self.transport.loseConnection()
 
@@ -450,6 +486,7 @@
     def connectionLost(self, reason: Failure | None = None) -> None:
         """Free what this client waited for."""
         self.closed = True
+        self._wait(0.0, None)
         self._free()
         self.front.forget(self)
         if self.reason == "client-closed" and reason is not None and reason.type is not ConnectionDone:
@@ -469,6 +506,7 @@
         self.dispatcher, self.settings, self.draw = dispatcher, settings, draw
         self.most_clients = most_clients
         self.sessions: set[Session] = set()
+        self.starting: dict[Session, None] = {}  # that have not begun, oldest first
         self.backends: dict[tuple[int, int], Session] = {}
         self.closing = False
         self._count = 0
@@ -480,6 +518,16 @@
         """One object for a connection."""
         return Session(self)
 
+    def joined(self, session: Session) -> None:
+        """A new connection. Where places run out, one that began no session yet goes first."""
+        if len(self.sessions) >= self.most_clients:
+            silent = next((s for s in self.starting if not unread(s.transport)), None)
+            if silent is not None:
+                silent.close("evicted-silent")
+                self.sessions.discard(silent)
+        self.sessions.add(session)
+        self.starting[session] = None
+
     def register(self, session: Session) -> tuple[int, int]:
         """A process id and a secret for a session."""
         self._count += 1
@@ -490,6 +538,7 @@
     def forget(self, session: Session) -> None:
         """It has ended."""
         self.sessions.discard(session)
+        self.starting.pop(session, None)
         self.backends.pop(session.backend, None)
 
     def cancel(self, backend: tuple[int, int]) -> None:
--- a/tests/test_pg.py
+++ b/tests/test_pg.py
@@ -262,6 +262,33 @@
             c.socket.close()
         wait_for(lambda: self.program.logged("session ended: 08P01"), "the log line")
 
+    def test_what_begins_no_session_or_stops_halfway_ends_in_time_with_a_reason(self):
+        silent, half = socket.create_connection(("127.0.0.1", self.port), DEADLINE), Raw(self.port)
+        half.send(pg.pack(b"Q", b"select 1\0")[:-1])
+        self.assertEqual(pg.read_error(half.until(b"E")[-1].payload)["C"], pg.PROTOCOL_VIOLATION)
+        self.assertIn(b"C08P01", silent.recv(4096))
+        self.assertEqual(silent.recv(4096), b"")
+        silent.close()
+
+    def test_an_oversized_message_is_refused_at_its_header_and_the_error_arrives(self):
+        c = Raw(self.port)
+        c.send(b"Q\x7f\xff\xff\xff")
+        for _ in range(30):  # a reset would end this
+            c.send(bytes(1 << 20))
+        self.assertEqual(pg.read_error(c.until(b"E")[-1].payload)["C"], pg.PROTOCOL_VIOLATION)
+
+    def test_silent_connections_do_not_shut_out_sessions(self):
+        program = Program({"known": known(*[e.port for e in self.engines]), "postgres": POSTGRES,
+                           "limits": {"sockets": 25}})  # (25 - 16) // 2 = 4 places
+        self.addCleanup(program.stop)
+        silent = [socket.create_connection(("127.0.0.1", program.port), DEADLINE) for _ in range(8)]
+        c = Raw(program.port)
+        c.send(pg.pack(b"Q", b"x\0"))
+        self.assertEqual(c.types(), b"TDCZ")
+        self.assertEqual(silent[0].recv(1), b"")
+        for s in silent:
+            s.close()
+
     def test_refusals_say_when_to_return(self):
         for engine in self.engines:
             engine.close()
