--- a/decklb/net/engines.py
+++ b/decklb/net/engines.py
@@ -25,8 +25,9 @@
 MOST_SPENT = 500  # ids given up on a connection, before it takes no more
 CONNECT_TIMEOUT, IDLE = 250.0, 15_000.0  # ms, where the settings say nothing
 # What ends an attempt at its engine is the arrival of the `undo`, and an attempt on another connection could
-# overtake it; so long is waited where another may follow. 5 ms were too few once in some 10,000 (bd00dba5).
-OVERTAKE, LAST = 25.0, 5.0  # ms; LAST: at the request's own deadline, when none can follow
+# overtake it; so long is waited where another may follow. 5 ms were too few once in some 10,000 (bd00dba5), 25 once
+# in 65,000 requests at a thousand a second with the machine too busy (88e438e8).
+OVERTAKE, LAST = 40.0, 5.0  # ms; LAST: at the request's own deadline, when none can follow
 IDLE_PART = 0.7  # of the time after which the other side closes: ours comes first, so no send crosses it
 # An answer whose rest stays away, or a page that does, is not waited for until the request's own end: what follows on
 # that connection never comes either. Counted in looks, so that being held up ourselves is not taken for it. Whole
--- a/decklb/rules.py
+++ b/decklb/rules.py
@@ -38,7 +38,7 @@
 COLD_SAFE = 0.42  # share of its part of the fall budget (busy cores) that one front uses; half is for chance
 OUTLIER = 4.0  # times the usual size of its class at which a query runs at the lowest priority
 RUNAWAY = 2.5  # times the usual of its class, or its aim, that the rest of a query takes under a bad plan
-FAULTY, BLAME = 0.5, 0.2  # share of errors of its own from which an engine is left out; weight of one
+FAULTY, BLAME = 0.5, 0.2  # share of its errors and refusals that leaves an engine out; weight of one
 ERRORS = 2  # after so many a request gets no further try
 TRUST = 20  # answers before learned figures replace guesses
 SHRINK = 0.5  # power of an estimate that is believed: it scatters about as widely as what it estimates
@@ -189,6 +189,8 @@
             self._mark(x, JAM)
             if x.trial:
                 self._leave_out(x)
+        elif e.outcome is Outcome.FULL:  # turning work away leaves it idle too
+            self._blame(x)
         elif e.outcome is Outcome.RST and not x.out:  # a death; the network resets single ones
             x.down_until = max(x.down_until, self.now + DOWN_MIN * PERIOD)
         if r.done or e.finished:
@@ -198,6 +200,11 @@
         elif not r.stream and not r.out() and not r.queued:
             self._enqueue(r) if self._may_repeat(r) else self._give_up(r)
 
+    def _blame(self, x: Engine) -> None:
+        x.faults += BLAME * (1 - x.faults)
+        if x.trial or x.faults > FAULTY:
+            self._leave_out(x)
+
     def _leave_out(self, x: Engine) -> None:  # until one trial after a while, longer each time
         if self.now >= x.down_until:
             x.back_off = min(DOWN_MAX * PERIOD, max(DOWN_MIN * PERIOD, 2 * x.back_off))
@@ -223,9 +230,7 @@
         # An error is the engine's own only where another could serve the request: what no engine can use
         # must leave none out.
         for y in [a.engine for a in r.legs if a.outcome is Outcome.BAD and a.engine is not x]:
-            y.faults += BLAME * (1 - y.faults)
-            if y.faults > FAULTY:
-                self._leave_out(y)
+            self._blame(y)
         u.n += 1
         alone = e.rtt / self._size(r)
         u.alone += max(EWMA, 1.0 / u.n) * (alone - u.alone)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -755,3 +755,18 @@
     assert "k" in g.keys.rest
     g.step(500.0, [])
     assert not g.keys.rest
+
+
+def test_an_engine_that_turns_work_away_is_left_out():
+    """One that said 'full' to all it got was asked again and again, 160 times a second (c225a8ac)."""
+    g, now, tried = gateway(engines=2, extra_floor=100.0, extra_ratio=0.0), 2.0, 0
+    first = sent(g.step(1.0, [ask(f"f{i}") for i in range(8)]))
+    g.step(2.0, [end(s, Outcome.GOOD) for s in first if s.engine == "e0"])
+    for i in range(40):
+        now += 20.0
+        (send,) = sent(g.step(now, [ask(f"q{i}")]))
+        if full := send.engine == "e0":
+            tried += 1
+            (send,) = sent(g.step(now + 1, [end(send, Outcome.FULL, rtt=1.0)]))
+        g.step(now + 2, [end(send, Outcome.GOOD, leg=int(full))])
+    assert 4 <= tried <= 6
