Move the process to daemon/, let no wire import its neighbour, import only what is on

Need: the process stood in net/ and pg/ took parts of net/; new subsystems would have had to hang on both. Change: daemon/ (service, assembly, garbage collection), wire/ (clock, bounds on connections, groups of tables), config/ as a package, BgpSettings in a file without sockets. The PostgreSQL front and the speaker are imported only where their section is given. Behaviour unchanged.

--- a/decklb/cli.py
+++ b/decklb/cli.py
@@ -26,7 +26,7 @@
                backtrace=False, diagnose=False)
     from twisted.internet import reactor
 
-    from decklb.net.service import Service
+    from decklb.daemon.service import Service
 
     Service(reactor, _load(path), lambda: configuration.load(path)).run()
 
--- a/decklb/config.py
+++ b/decklb/config/platform.py
@@ -1,19 +1,26 @@
-"""The configuration file, decoded once into the few values that the program uses."""
+"""The platform's configuration file, decoded once into the few values that the program uses.
+
+What an installation leaves off is not imported: the sections of other fronts and of the cluster are read by modules
+that only their presence brings in.
+"""
 
 from __future__ import annotations
 
 import os
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import ujson
 
-from decklb.bgp.speaker import BgpSettings
+from decklb.config.errors import ConfigError
 from decklb.interface import Settings
-from decklb.pg.settings import PgSettings
 from decklb.settings import settings_from
 
+if TYPE_CHECKING:
+    from decklb.bgp.settings import BgpSettings
+    from decklb.pg.settings import PgSettings
+
 SOCKETS = 1024  # where no limit is told
 MEMORY = 256.0  # MB, likewise
 OWN = 28.0  # MB of the program itself under load
@@ -22,10 +29,6 @@
 Address = tuple[str, int]
 
 
-class ConfigError(Exception):
-    """The configuration can't be used; the message says why."""
-
-
 @dataclass(slots=True)
 class Config:
     """What the program is told at its start."""
@@ -80,7 +83,7 @@
 
 
 def from_raw(raw: dict[str, Any]) -> Config:
-    """Check and translate."""
+    """Check and translate. Raises ConfigError."""
     try:
         known = raw.get("known") or {}
         limits = raw.get("limits") or {}
@@ -93,7 +96,19 @@
             settings=settings, limits=dict(raw["settings"].get("limits") or {}),
             resolver=address(raw["resolver"]) if raw.get("resolver") else None,
             index=int(known.get("index", 0)), updates=list(known.get("updates") or []),
-            postgres=PgSettings.from_raw(raw["postgres"], settings) if raw.get("postgres") else None,
-            bgp=BgpSettings.from_raw(raw["bgp"], address) if raw.get("bgp") else None)
+            postgres=_postgres(raw["postgres"], settings) if raw.get("postgres") else None,
+            bgp=_bgp(raw["bgp"]) if raw.get("bgp") else None)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise ConfigError(f"configuration can't be used: {error!r}") from error
+
+
+def _postgres(raw: dict[str, Any], settings: Settings) -> PgSettings:
+    from decklb.pg.settings import PgSettings
+
+    return PgSettings.from_raw(raw, settings)
+
+
+def _bgp(raw: dict[str, Any]) -> BgpSettings:
+    from decklb.bgp.settings import BgpSettings
+
+    return BgpSettings.from_raw(raw, address)
--- /dev/null
+++ b/decklb/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The process: assembling the parts, signals, readiness, drain and reload."""
--- a/decklb/net/service.py
+++ b/decklb/daemon/service.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import gc
 import random
 import signal
 from collections.abc import Callable
@@ -10,23 +9,14 @@
 
 from loguru import logger
 
-from decklb.bgp.speaker import Speaker
 from decklb.config import Config, ConfigError
-from decklb.core.dispatcher import Dispatcher
 from decklb.core.ports import Timer
+from decklb.daemon.assembly import assemble, speaker
+from decklb.daemon.garbage import Collector
 from decklb.interface import Entry, Phase
-from decklb.net.clock import ReactorClock
 from decklb.net.directory import Directory
-from decklb.net.engines import RespEngines
-from decklb.net.front import Front
-from decklb.pg.engines import PgEngines
-from decklb.pg.front import PgFront
-
-# A full garbage collection went through all that was imported, up to 60 ms at a time under load, and answers due
-# then were late. What exists at the start is set apart; after that full collections are made here, when no request
-# is open, or after a long time without such a moment. Requests leave no circles behind, so little is left to them.
-COLLECT = (5000, 10, 1_000_000)
-IDLE_COLLECT, FORCED_COLLECT = 30_000.0, 900_000.0  # ms between looks; at the latest
+from decklb.wire.clock import ReactorClock
+
 # SIGKILL comes after SIGTERM no sooner than the longest deadline, counted as 3 s at the most, and 0.7 s more.
 LONGEST, LAST_CALL = 3000.0, 100.0  # ms; what is open so long before that is answered then
 GRACE = 700.0  # ms after SIGTERM in which clients that do not know yet are still taken in
@@ -42,19 +32,9 @@
         self.reactor, self.config, self.again = reactor, config, again
         self.clock = ReactorClock(reactor)
         self.rng = random.Random(config.seed)
-        self.engines: RespEngines | PgEngines
-        self.front: Front | PgFront
-        if config.postgres is None:
-            self.engines = RespEngines(reactor, self.clock, config.limits)
-        else:
-            self.engines = PgEngines(reactor, self.clock, config.postgres)
-        self.dispatcher = Dispatcher(config.settings, config.seed, self.clock, self.engines)
-        if config.postgres is None:
-            self.front = Front(self.dispatcher, self.ready, config.most_clients, config.spare_clients,
-                               config.most_held)
-        else:
-            self.front = PgFront(self.dispatcher, config.postgres, self.rng.randrange, config.most_clients)
-        self.speaker = Speaker(reactor, self.clock, config.bgp) if config.bgp is not None else None
+        parts = assemble(reactor, self.clock, config, self.rng.randrange, self.ready)
+        self.dispatcher, self.front, self.engines = parts.dispatcher, parts.front, parts.engines
+        self.speaker = speaker(reactor, self.clock, config)
         self.directory = Directory(self.clock, config.resolver, self.rng.randrange, self._list)
         self.up = 0  # engines that the list calls up
         self.listening = self.stopping = self.late = False
@@ -155,19 +135,9 @@
         # Before anybody can hear that we are ready: the default would end the process.
         signal.signal(signal.SIGHUP, lambda *_: self.reactor.callFromThread(self.reload))
         self.start()
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(*COLLECT)
-        self._collect(self.clock.now())
+        Collector(self.clock, lambda: not self.dispatcher.open).start()
         self.reactor.callWhenRunning(lambda: signal.signal(signal.SIGTERM, self._signal))
         self.reactor.run()
 
-    def _collect(self, last: float) -> None:
-        now = self.clock.now()
-        if not self.dispatcher.open or now - last >= FORCED_COLLECT:
-            gc.collect()
-            last = now
-        self.clock.call_later(IDLE_COLLECT, lambda: self._collect(last))
-
     def _signal(self, *_: object) -> None:
         self.reactor.callFromThread(self.terminate)
--- a/decklb/net/front.py
+++ b/decklb/net/front.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -14,27 +13,17 @@
 from decklb.core.dispatcher import Dispatcher, Request
 from decklb.net import frames
 from decklb.net.frames import BadRequest, ProtocolError
+from decklb.wire.connections import FIRST, HALF, LINGER, unread
 
 MOST_STREAMS = 32  # requests open on one connection
 MOST_UNREAD = 32 * 52_000  # bytes that one client may leave unread: as much as its open requests can bring
 AWAY = 500.0  # ms that a client turned away by the front itself had better wait, where the settings allow as much
-# Whoever says nothing readable is owed an end within 3 s of connecting; both have to begin well before.
-FIRST, HALF = 2200.0, 2200.0  # ms from connecting to a first whole message, from a message's first byte to its last
-LINGER = 3000.0  # ms that what still comes is read and thrown away after an error: a reset could overtake it
 SETTLED = 30.0  # ms in which a new connection says something if it ever does soon
 SWEEP, RETRY = 100.0, 10.0  # ms between looks at what is overdue; between tries to find places
 CROWDED = 200.0  # ms without a place after which newcomers come in to be refused
 ACCEPTS = 10  # connections taken in one go
 
 
-def unread(transport: Any) -> bool:
-    """Whether bytes have arrived that nobody has read yet, as when the process was held up."""
-    try:
-        return bool(transport.getHandle().recv(1, socket.MSG_PEEK))
-    except OSError:
-        return False
-
-
 class Answer:
     """The answer sink of one stream."""
 
--- a/decklb/pg/front.py
+++ b/decklb/pg/front.py
@@ -20,13 +20,13 @@
 from decklb.core.dispatcher import EARLY, Dispatcher, Request
 from decklb.core.ports import Timer
 from decklb.interface import Effect
-from decklb.net.front import FIRST, HALF, LINGER, unread
-from decklb.net.tables import table_group
 from decklb.pg import messages as pg
 from decklb.pg.engines import PgWork
 from decklb.pg.messages import PgError
 from decklb.pg.settings import PREFIX, REPORTED, Parameters, PgSettings
 from decklb.pg.statements import Statement, classify
+from decklb.wire.connections import FIRST, HALF, LINGER, unread
+from decklb.wire.tables import table_group
 
 MOST_QUEUED = 1 << 20  # bytes of messages that wait for the one in hand
 MOST_NAMED = 1000  # statements and portals of one session
--- a/tests/test_bgp.py
+++ b/tests/test_bgp.py
@@ -9,7 +9,7 @@
 
 from decklb.bgp import messages as bgp
 from decklb.bgp.speaker import BgpSettings, Peer, PeerSettings, Speaker
-from decklb.net.clock import ReactorClock
+from decklb.wire.clock import ReactorClock
 from tests.standins import DEADLINE, Program, known, wait_for
 
 SECTION = {"asn": 64512, "router": "127.0.0.1", "prefixes": ["10.9.8.7/32"], "hold": 9}
