Take operators' settings as XML with a schema; write the log as JSON on request

Need: subsystems to come have settings of their own, and operators want units, lines and all faults at once. Change: config/xml.py reads bounded XML (no DOCTYPE, entities or network) against decklb.xsd, config/operators.py translates it; faults found by a second look (names nobody defines, shares over 100%) carry lines too. Every log call has an event code. deploy/postgres.json becomes deploy/postgres.xml, checked to give the same settings as the JSON gave.

--- a/decklb/bgp/speaker.py
+++ b/decklb/bgp/speaker.py
@@ -61,7 +61,8 @@
             self._heard()
             if not self.established:
                 self.established = True
-                logger.info("bgp peer {}:{} established", *self.peer.settings.address)
+                logger.info("bgp peer {peer} established", event="bgp-established",
+                            peer="{}:{}".format(*self.peer.settings.address))
                 self.update()
         elif kind == bgp.UPDATE and self.established:
             self._heard()  # routes of others are of no use here
@@ -121,8 +122,7 @@
             if timer is not None:
                 timer.cancel()
         self.dead = self.alive = None
-        logger.info("bgp connection ended: {} peer={}:{}", self.reason, *self.peer.settings.address)
-        self.peer.lost()
+        self.peer.ended(self.reason)
 
 
 class Peer:
@@ -144,11 +144,12 @@
         endpoint.connect(factory).addErrback(self._refused)
 
     def _refused(self, reason: Failure) -> None:
-        logger.info("bgp connection ended: no-connection peer={}:{}", *self.settings.address)
-        self.lost()
+        self.ended("no-connection")
 
-    def lost(self) -> None:
+    def ended(self, reason: str) -> None:
         """Idle; connect again after a while."""
+        logger.info("bgp connection ended: {reason} peer={peer}", event="bgp-connection-ended", reason=reason,
+                    peer="{}:{}".format(*self.settings.address))
         self.link = None
         if not self.speaker.closed:
             self.speaker.clock.call_later(RETRY, self.connect)
--- /dev/null
+++ b/decklb/cli/__init__.py
@@ -0,0 +1,18 @@
+"""The command line: one file for each group of commands. A command imports what it needs when it is called."""
+
+from __future__ import annotations
+
+import click
+
+from decklb.cli import serve
+
+
+@click.group()
+def main() -> None:
+    """A workload manager in front of query engines."""
+
+
+for command in (serve.serve, serve.check, serve.schema, serve.version):
+    main.add_command(command)
+
+__all__ = ["main"]
--- /dev/null
+++ b/decklb/cli/serve.py
@@ -0,0 +1,83 @@
+"""Running the program, and looking at what it would be told."""
+
+from __future__ import annotations
+
+from importlib import metadata
+
+import click
+
+from decklb import config as configuration
+from decklb import log
+
+CONFIG = click.option("--config", "path", help="The platform's configuration file; LB_CONFIG names it otherwise.")
+SETTINGS = click.option("--settings", help="Operators' settings in XML; DECKLB_SETTINGS names them otherwise.")
+
+
+@click.command()
+@CONFIG
+@SETTINGS
+@click.option("--log-level", default="INFO", show_default=True, help="Least level that is logged.")
+@click.option("--log-format", type=click.Choice(log.FORMATS), default="text", show_default=True,
+              help="Lines for people, or one JSON object a line.")
+def serve(path: str | None, settings: str | None, log_level: str, log_format: str) -> None:
+    """Serve until SIGTERM, then drain and exit."""
+    log.set_up(log_level, log_format)
+    from twisted.internet import reactor
+
+    from decklb.daemon.service import Service
+
+    Service(reactor, _load(path, settings), lambda: configuration.load(path, settings)).run()
+
+
+@click.command()
+@CONFIG
+@SETTINGS
+def check(path: str | None, settings: str | None) -> None:
+    """Read a configuration and say what holds, or every fault that it has."""
+    c = _load(path, settings)
+    click.echo(f"{c.name}: listens on {c.listen[0]}:{c.listen[1]}, {len(c.settings.classes)} classes, "
+               f"{len(c.settings.tenants)} tenants, {c.most_clients} clients at most")
+    for name, x in c.settings.classes.items():
+        click.echo(f"class {name}: aim {x.aim:g}ms, deadline {x.deadline:g}ms, {x.effect.value}, "
+                   f"{x.threads} threads{', in order by key' if x.serial else ''}")
+    for name, t in c.settings.tenants.items():
+        click.echo(f"tenant {name}: share {100 * t.share:g}%")
+    if c.postgres is not None:
+        click.echo(f"postgres: {len(c.postgres.users)} users named, {c.postgres.connections} connections to an engine")
+    if c.bgp is not None:
+        click.echo(f"bgp: AS {c.bgp.asn} announces {', '.join(c.bgp.prefixes)} to {len(c.bgp.peers)} peers")
+    if (k := c.cluster) is not None:
+        m = k.membership
+        click.echo(f"cluster {m.cluster}: member {k.member} on {k.bind[0]}:{k.bind[1]}, {len(k.seeds)} seeds, "
+                   f"keys in {k.keys}, a probe of a member each {m.interval:g}ms")
+        if (d := k.probing) is not None:
+            click.echo(f"probing: each engine each {d.period:g}ms, {d.timeout:g}ms for an answer, {d.most} at a time, "
+                       f"handed on after {d.hand_on} failures")
+    if c.control:
+        click.echo(f"control: {c.control}")
+
+
+@click.command()
+def schema() -> None:
+    """Print the schema (XSD) of the operators' settings."""
+    from decklb.config.xml import schema_text
+
+    click.echo(schema_text(), nl=False)
+
+
+@click.command()
+def version() -> None:
+    """Print the version."""
+    try:
+        click.echo(metadata.version("decklb"))
+    except metadata.PackageNotFoundError:  # run from a checkout
+        click.echo("decklb, from a checkout")
+
+
+def _load(path: str | None, settings: str | None) -> configuration.Config:
+    try:
+        return configuration.load(path, settings)
+    except configuration.ConfigError as error:
+        raise click.ClickException(str(error)) from error
+    except ImportError as error:
+        raise click.ClickException(f"{error}; settings in XML need `pip install decklb[cluster]`") from error
--- a/decklb/config/platform.py
+++ b/decklb/config/platform.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from decklb.bgp.settings import BgpSettings
+    from decklb.cluster.settings import ClusterSettings
     from decklb.pg.settings import PgSettings
 
 SOCKETS = 1024  # where no limit is told
@@ -45,6 +46,8 @@
     updates: list[dict[str, Any]]
     postgres: PgSettings | None  # given: this front serves instead of the platform's
     bgp: BgpSettings | None
+    cluster: ClusterSettings | None = None
+    control: str = ""  # path of the Unix socket that answers operators; none without
 
     @property
     def most_clients(self) -> int:
@@ -70,15 +73,25 @@
     return host, int(port)
 
 
-def load(path: str | None = None) -> Config:
-    """Read the file that LB_CONFIG names; LB_NAME and LB_LISTEN stand in for what it lacks."""
-    where = path or os.environ.get("LB_CONFIG")
-    if not where:
+def load(path: str | None = None, settings: str | None = None) -> Config:
+    """Read the file that LB_CONFIG names, and the operators' XML that `settings` or DECKLB_SETTINGS names.
+
+    One of the two is enough; where both say something, the XML stands. LB_NAME and LB_LISTEN stand in for what the
+    platform's file lacks. Raises ConfigError.
+    """
+    where, xml = path or os.environ.get("LB_CONFIG"), settings or os.environ.get("DECKLB_SETTINGS")
+    if not where and not xml:
         raise ConfigError("LB_CONFIG names no configuration file")
-    try:
-        raw = ujson.loads(Path(where).read_text())
-    except (OSError, ValueError) as error:
-        raise ConfigError(f"{where}: {error}") from error
+    raw: dict[str, Any] = {}
+    if where:
+        try:
+            raw = ujson.loads(Path(where).read_text())
+        except (OSError, ValueError) as error:
+            raise ConfigError(f"{where}: {error}") from error
+    if xml:
+        from decklb.config.operators import merge
+
+        return merge(xml, raw)
     return from_raw(raw)
 
 
--- a/decklb/config/units.py
+++ b/decklb/config/units.py
@@ -28,7 +28,7 @@
 
 def share(text: str) -> float:
     """0.1 for `10%`. Raises ValueError."""
-    return _split(text, {"%": 0.01}, "share")
+    return _split(text, {"%": 1}, "share") / 100
 
 
 def written(ms: float) -> str:
--- a/decklb/core/dispatcher.py
+++ b/decklb/core/dispatcher.py
@@ -148,7 +148,7 @@
         try:
             actions = self.gateway.step(self._last, events)
         except Exception:  # a fault of the decisions must not take the sockets down: the backstop answers
-            logger.exception("decision module failed on {} events", len(events))
+            logger.exception("decision module failed on {count} events", event="module-failed", count=len(events))
             actions = [api.Sleep(self.settings.tick * 10, "again")]
         for action in actions:
             self._act(action)
@@ -179,7 +179,7 @@
                 label = action.label
                 self.clock.call_later(action.delay, lambda: self._post(api.Tick(label)))
             case _:  # terms, probes, peers and calls for the list have no counterpart on these wires
-                logger.debug("no counterpart on this wire: {}", action)
+                logger.debug("no counterpart on this wire: {action}", event="no-counterpart", action=str(action))
 
     def _send(self, r: Request, action: api.Send) -> None:
         now = self.clock.now()
@@ -190,7 +190,8 @@
         if r.answered or out or left <= 0:
             # Guards the rule on overlap and final answers whatever the module says: it never goes out.
             if out:
-                logger.error("second attempt for {} while one is out", r.ident)
+                logger.error("second attempt for {request} while one is out", event="overlap-stopped",
+                             request=r.ident)
             return self._close(a, Outcome.NOP)
         self._watch(a.deadline, r, a.leg)
         self.engines.start(a)
@@ -235,7 +236,8 @@
 
     def _overdue(self, r: Request) -> None:
         if not r.answered:
-            logger.warning("deadline backstop for {} of class {}", r.ident, r.work.lane)
+            logger.warning("deadline backstop for {request} of class {lane}", event="backstop", request=r.ident,
+                           lane=r.work.lane)
             sink = r.sink
             self.abandon(r)
             self._answer(r, sink.failed)
@@ -256,4 +258,4 @@
         try:
             call()
         except Exception:  # a front's fault with one client must not stop the others
-            logger.exception("answer to {} failed", r.ident)
+            logger.exception("answer to {request} failed", event="answer-failed", request=r.ident)
--- a/decklb/daemon/service.py
+++ b/decklb/daemon/service.py
@@ -56,8 +56,8 @@
         if self.speaker is not None:
             self.speaker.start()
         self._say()
-        logger.info("{} listens on {}:{}, {} clients at most", c.name, c.listen[0], self.port.getHost().port,
-                    c.most_clients)
+        logger.info("{name} listens on {host}:{port}, {clients} clients at most", event="listening", name=c.name,
+                    host=c.listen[0], port=self.port.getHost().port, clients=c.most_clients)
 
     def _open_directory(self) -> None:
         self.reactor.listenUDP(0, self.directory, interface=self.config.listen[0], maxPacketSize=65536)
@@ -72,16 +72,20 @@
                 self.directory.known(new.index, new.updates)
         except (ConfigError, LookupError, TypeError, ValueError) as error:
             # Guards against a file that is half written or wrong: what serves goes on serving.
-            return logger.error("SIGHUP: configuration kept, the new one can't be used: {!r}", error)
-        kept = [name for name in ("name", "listen", "sockets", "memory", "settings", "limits", "postgres", "bgp")
+            return logger.error("SIGHUP: configuration kept, the new one can't be used: {error}",
+                                event="reload-refused", error=repr(error))
+        kept = [name for name in ("name", "listen", "sockets", "memory", "settings", "limits", "postgres", "bgp",
+                                 "cluster", "control")
                 if getattr(new, name) != getattr(self.config, name)]
         if kept:
-            logger.warning("SIGHUP: a restart is needed for a change of {}", ", ".join(kept))
+            logger.warning("SIGHUP: a restart is needed for a change of {parts}", event="reload-partial",
+                           parts=", ".join(kept))
         if new.resolver != self.directory.resolver:
             self.directory.move(new.resolver)
             if self.directory.transport is None:
                 self._open_directory()
-        logger.info("SIGHUP: configuration read, list {}, resolver {}", self.directory.index, new.resolver)
+        logger.info("SIGHUP: configuration read, list {index}, resolver {resolver}", event="reloaded",
+                    index=self.directory.index, resolver=new.resolver)
 
     def ready(self) -> bool:
         """Whether a request sent now would be served as well as any."""
@@ -107,7 +111,7 @@
         if self.stopping:
             return
         self.stopping = True
-        logger.info("SIGTERM: draining, {} requests open", self.dispatcher.open)
+        logger.info("SIGTERM: draining, {open} requests open", event="draining", open=self.dispatcher.open)
         self._say()
         self.front.announce()
         self.clock.call_later(GRACE, self._drain)
--- a/decklb/middleware/asgi.py
+++ b/decklb/middleware/asgi.py
@@ -205,7 +205,8 @@
         try:
             await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
             if not answer.done():
-                logger.info("request ended: client-closed class={}", ask.lane)
+                logger.info("request ended: client-closed class={lane}", event="request-ended", reason="client-closed",
+                            lane=ask.lane)
                 return
             status, wait = answer.result()
             if status == 200:
--- a/decklb/net/directory.py
+++ b/decklb/net/directory.py
@@ -100,7 +100,7 @@
                 return
             rows = rows_from(reply)
         except (dns.DnsError, ValueError) as error:
-            logger.warning("directory answer dropped: {}", error)
+            logger.warning("directory answer dropped: {error}", event="directory-answer-dropped", error=str(error))
             return
         self.ident = None
         if self.timer is not None:
@@ -121,8 +121,8 @@
     def _tell(self) -> None:
         entries = [Entry(r.engine, r.zone, r.kind, r.cell, r.phase, r.hint, self._ready_at(r))
                    for r in self.rows.values()]
-        logger.info("list {}: {} engines, {} draining", self.index, len(entries),
-                    sum(e.phase is Phase.DRAINING for e in entries))
+        logger.info("list {index}: {engines} engines, {draining} draining", event="list", index=self.index,
+                    engines=len(entries), draining=sum(e.phase is Phase.DRAINING for e in entries))
         self.changed(entries, {r.engine: r.address for r in self.rows.values()})
 
     def _ready_at(self, row: Row) -> float:
--- a/decklb/net/engines.py
+++ b/decklb/net/engines.py
@@ -194,7 +194,7 @@
             try:
                 call.attempt.note(kind, float(fields.get("value", "")))
             except ValueError:
-                logger.debug("note without a number from {}", self.pool.engine)
+                logger.debug("note without a number from {engine}", event="bad-note", engine=self.pool.engine)
 
     def _rest(self) -> None:
         """An unused connection closes before the engine closes it, at once if it is retired."""
@@ -226,14 +226,17 @@
         if self.reason == "peer-closed" and reason is not None and reason.type is not ConnectionDone:
             self.reason = "reset" if reason.type is ConnectionLost else _code(reason)
         self.end(Outcome.RST)
-        logger.info("engine connection ended: {} engine={} address={}:{}", self.reason, self.pool.engine,
-                    *self.pool.address)
+        self._ended(self.reason)
 
     def refused(self, reason: Failure) -> None:
         """It never came up, so nothing was sent."""
         self.end(Outcome.NOCONN)
-        logger.info("engine connection ended: no-connection ({}) engine={} address={}:{}",
-                    _code(reason), self.pool.engine, *self.pool.address)
+        self._ended(f"no-connection ({_code(reason)})")
+
+    def _ended(self, reason: str) -> None:
+        logger.info("engine connection ended: {reason} engine={engine} address={address}",
+                    event="engine-connection-ended", reason=reason, engine=self.pool.engine,
+                    address="{}:{}".format(*self.pool.address))
 
     def end(self, outcome: Outcome) -> None:
         """The connection is gone, and with it what was open on it."""
--- a/decklb/net/front.py
+++ b/decklb/net/front.py
@@ -213,8 +213,9 @@
         if self.reason == "client-closed" and reason is not None and reason.type is not ConnectionDone:
             self.reason = "reset"
         peer = self.transport.getPeer()
-        logger.info("client connection ended: {} requests={} abandoned={} peer={}:{}", self.reason,
-                    self.taken, len(left), getattr(peer, "host", "?"), getattr(peer, "port", 0))
+        logger.info("client connection ended: {reason} requests={requests} abandoned={abandoned} peer={peer}",
+                    event="client-connection-ended", reason=self.reason, requests=self.taken, abandoned=len(left),
+                    peer=f"{getattr(peer, 'host', '?')}:{getattr(peer, 'port', 0)}")
 
 
 class Front(ServerFactory):
--- a/decklb/pg/engines.py
+++ b/decklb/pg/engines.py
@@ -211,8 +211,9 @@
         self.closed = True
         self._stop_timer()
         self.pool.links.discard(self)
-        logger.info("engine connection ended: {} engine={} address={}:{}", self.reason, self.pool.engine,
-                    *self.pool.address)
+        logger.info("engine connection ended: {reason} engine={engine} address={address}",
+                    event="engine-connection-ended", reason=self.reason, engine=self.pool.engine,
+                    address="{}:{}".format(*self.pool.address))
         attempt, freed = self.attempt, self.freed
         self.attempt = self.freed = None
         if freed is not None:
@@ -236,7 +237,8 @@
 
     def connectionLost(self, reason: Failure | None = None) -> None:
         """The engine reads it and says nothing."""
-        logger.info("engine connection ended: cancel-sent pid={}", self.backend[0])
+        logger.info("engine connection ended: {reason} pid={pid}", event="engine-connection-ended",
+                    reason="cancel-sent", pid=self.backend[0])
 
 
 class PgPool:
@@ -273,7 +275,8 @@
     def cancel(self, backend: tuple[int, int]) -> None:
         """Ask the engine to end what runs on that connection."""
         self._dial(Canceller(backend)).addErrback(
-            lambda reason: logger.info("cancel did not reach {}: {}", self.engine, reason.type.__name__))
+            lambda reason: logger.info("cancel did not reach {engine}: {reason}", event="cancel-lost",
+                                       engine=self.engine, reason=reason.type.__name__))
 
     def retire(self) -> None:
         """The engine has gone, or has moved: close what is not in use, and the rest when it ends."""
--- a/decklb/pg/front.py
+++ b/decklb/pg/front.py
@@ -492,8 +492,9 @@
         if self.reason == "client-closed" and reason is not None and reason.type is not ConnectionDone:
             self.reason = "reset"
         peer = self.transport.getPeer()
-        logger.info("session ended: {} requests={} abandoned={} peer={}:{}", self.reason, self.taken,
-                    self.abandoned, peer.host, peer.port)
+        logger.info("session ended: {reason} requests={requests} abandoned={abandoned} peer={peer}",
+                    event="session-ended", reason=self.reason, requests=self.taken, abandoned=self.abandoned,
+                    peer=f"{peer.host}:{peer.port}")
 
 
 class PgFront(ServerFactory):
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,149 @@
+"""The operators' XML: what it means, and a table of broken files with the line and the fault of each."""
+
+from __future__ import annotations
+
+import io
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+from loguru import logger
+
+from decklb import config, log
+from decklb.cli import main
+from decklb.config import units
+from tests.standins import ROOT, SETTINGS, known
+
+HEAD = """<decklb version="1">
+<process name="n" listen="127.0.0.1:1"/>
+<classes><class name="c" aim="1s" deadline="5s" semantics="idempotent"/></classes>
+<tenants><tenant name="t" share="100%"/></tenants>
+"""
+CLUSTER = '<cluster name="k" bind="127.0.0.1:7" keys="keys.json"/>\n'
+BROKEN = [  # what follows the head's four lines, the line blamed, words of the fault
+    ('<classess/>', 5, "classess"),
+    ('<process name="n"/>', 5, "process"),
+    ('<rules tick="5"/>', 5, "a duration such as 250ms"),
+    ('<rules max-attempts="5"/>', 5, "maximum value allowed ('4')"),
+    ('<rules cold-share="0.3"/>', 5, "a share such as 10%"),
+    ('<rules cancelling="yes"/>', 5, "true or false"),
+    ('<bgp asn="1" router="10.0.0.1"><prefix>10.0.0.0</prefix><peer address="a:1" asn="2"/></bgp>', 5, "prefix"),
+    ('<bgp asn="1" router="10.0.0.1" hold="1s"><prefix>10.0.0.0/8</prefix><peer address="a:1" asn="2"/></bgp>', 5,
+     "hold is 0 or 3"),
+    ('<bgp asn="1" router="10.0.0.1"><prefix>10.0.0.0/8</prefix><peer address="a:99999" asn="2"/></bgp>', 5,
+     "no address"),
+    ('<postgres user="u"><user name="x" class="cc"/></postgres>', 5, "nobody defines class 'cc'; one of c"),
+    ('<postgres user="u">\n<user name="x" tenant="tt"/></postgres>', 6, "nobody defines tenant 'tt'"),
+    ('<postgres user="u" writes="w"/>', 5, "nobody defines writes 'w'"),
+    ('<engines><engine id="e" address="h:1"/>\n<engine id="e" address="h:2"/></engines>', 6, "line 5 already"),
+    ('<engines><engine id="e" address="h:70000"/></engines>', 5, "no address"),
+    ('<engines><engine id="e" address="h:1" kind="k"/></engines>\n<kinds><kind name="j" cores="2"/></kinds>', 5,
+     "nobody defines kind 'k'"),
+    ('<kinds><kind name="j" cores="0"/></kinds>', 5, "a whole number from 1"),
+    ('<probing period="1s"/>', 5, "needs a <cluster>"),
+    ('<cluster name="k" bind="127.0.0.1:7" keys="k" timeout="9s"/>', 5, "timeout must be above 0 and below interval"),
+    ('<cluster name="k" bind="127.0.0.1:7"/>', 5, "'keys' is required"),
+    (CLUSTER + '<probing cold-factor="0.5"/>', 6, "at least 1"),
+    ('<cluster name="k" bind="127.0.0.1:7" keys="k"><seed>nowhere</seed></cluster>', 5, "HOST:PORT"),
+    (f'<control socket="{"x" * 150}"/>', 5, "at most 100"),
+    ('<control/>', 5, "'socket' is required"),
+    ('<rules', 6, "is no XML"),
+]
+
+
+def write(folder, text, name="s.xml"):
+    path = Path(folder) / name
+    path.write_text(text)
+    return str(path)
+
+
+@pytest.fixture
+def folder():
+    with tempfile.TemporaryDirectory() as name:
+        yield name
+
+
+@pytest.mark.parametrize(("body", "line", "words"), BROKEN, ids=[w for _, _, w in BROKEN])
+def test_broken(folder, body, line, words):
+    path = write(folder, HEAD + body + "\n</decklb>\n")
+    with pytest.raises(config.SettingsError) as caught:
+        config.load(None, path)
+    assert [f for f in caught.value.faults if f.line == line and words in f.text], str(caught.value)
+    assert all(f.file == path for f in caught.value.faults)
+
+
+def test_all_faults_at_once(folder):
+    path = write(folder, HEAD.replace("100%", "1") + '<rules tick="x"/>\n<control/>\n</decklb>')
+    with pytest.raises(config.SettingsError) as caught:
+        config.load(None, path)
+    assert [f.line for f in caught.value.faults] == [4, 5, 6]
+
+
+@pytest.mark.parametrize("head", [
+    '<!DOCTYPE decklb [<!ENTITY a "1">]>\n<decklb version="1"><control socket="&a;"/></decklb>',
+    '<!DOCTYPE decklb SYSTEM "http://127.0.0.1:1/x.dtd">\n<decklb version="1"/>',
+    "<decklb version='1'>" + "<a>" * 50 + "</a>" * 50 + "</decklb>",
+    "<decklb version='2'/>",
+    "<decklb version='1'/>" + " " * (5 << 20),
+])
+def test_closed_to_the_outside(folder, head):
+    with pytest.raises(config.SettingsError):
+        config.load(None, write(folder, head))
+
+
+class Meaning(unittest.TestCase):
+    def test_example_alone(self):
+        c = config.load(None, str(ROOT / "deploy/postgres.xml"))
+        assert c.postgres is not None and c.postgres.users["reportes"].budget == 20_000.0
+        assert c.settings.classes["carga"].serial and c.settings.max_attempts == 4 and c.settings.tick == 5.0
+        assert [x["instanceId"] for x in c.updates[0]["endpoints"]["instances"]] == ["motor-1", "motor-2"]
+
+    def test_over_the_platforms_file(self):
+        with tempfile.TemporaryDirectory() as folder:
+            raw = {"name": "n", "listen": "127.0.0.1:1", "settings": SETTINGS, "known": known(1)}
+            xml = ('<decklb version="1"><process memory="64MiB"/><cluster name="k" bind="127.0.0.1:7" keys="sub/k.json"'
+                   ' interval="1s" weight="2"><seed>127.0.0.1:8</seed></cluster>'
+                   '<probing period="250ms" timeout="50ms" doubt-share="75%"/><control socket="c.sock"/></decklb>')
+            c = config.load(write(folder, json.dumps(raw), "c.json"), write(folder, xml))
+            assert (c.name, c.memory, c.index) == ("n", 64.0, 1)
+            assert c.cluster is not None and c.cluster.probing is not None
+            assert c.cluster.keys == str(Path(folder).resolve() / "sub/k.json")
+            assert (c.cluster.member, c.cluster.seeds) == ("n", (("127.0.0.1", 8),))
+            assert (c.cluster.membership.interval, c.cluster.probing.doubt_share) == (1000.0, 0.75)
+            assert c.control == str(Path(folder).resolve() / "c.sock")
+
+    def test_units(self):
+        assert [units.duration(x) for x in ("250ms", "2s", "1.5min", "1h")] == [250.0, 2000.0, 90_000.0, 3_600_000.0]
+        assert (units.size("64KiB"), units.share("2.5%")) == (65536, 0.025)
+        assert [units.written(x) for x in (250.0, 2000.0, 1500.0, 90_000.0)] == ["250ms", "2s", "1.5s", "1.5min"]
+        for text in ("", "2", "s", "-1s", "1 s", "1e3ms", "2m"):
+            self.assertRaises(ValueError, units.duration, text)
+
+    def test_commands(self):
+        run = CliRunner().invoke
+        assert "schema" in run(main, ["schema"]).output
+        said = run(main, ["check", "--settings", str(ROOT / "deploy/postgres.xml")])
+        assert said.exit_code == 0 and "postgres: 2 users" in said.output
+        with tempfile.TemporaryDirectory() as folder:
+            said = run(main, ["check", "--settings", write(folder, HEAD + "<control/></decklb>")])
+        assert said.exit_code == 1 and ":5: " in said.output
+
+
+class JsonLines(unittest.TestCase):
+    def test_event_and_types(self):
+        out = io.StringIO()
+        log.set_up("INFO", "json", out)
+        self.addCleanup(log.set_up, "INFO", "text")
+        logger.info("engine {engine} ended", event="engine-ended", engine="e/1", count=3, message_="m", level=5)
+        logger.debug("not this")
+        try:
+            raise ValueError("why")
+        except ValueError:
+            logger.exception("went wrong")
+        first, second = map(json.loads, out.getvalue().splitlines())
+        assert (first["event"], first["engine"], first["count"]) == ("engine-ended", "e/1", 3)
+        assert (first["level"], first["message"]) == ("INFO", "engine e/1 ended")
+        assert (second["event"], second["exception"]) == ("log", "ValueError: why")
