Membership by SWIM, duties by rendezvous hashing with terms, tried on a simulated network

Need: in installations with many managers each probes every engine; duties are to be shared, and taken over when one dies. Change: decklb/cluster/ holds the decisions, free of I/O: membership (SWIM, suspicion, Lifeguard, sums compared in pairs), sealing and replay windows, news, weighted rendezvous ownership with Lamport terms, duties, verdicts. decklb/lab/ drives the same nodes on a deterministic network; decklb lab duties prints figures. A run whose clock is behind its earlier run's was never accepted, and two such asked one another without end; words of 'can't do' held by one side only left a duty without an owner.

--- a/decklb/cli/__init__.py
+++ b/decklb/cli/__init__.py
@@ -4,7 +4,7 @@
 
 import click
 
-from decklb.cli import serve
+from decklb.cli import keys, lab, running, serve
 
 
 @click.group()
@@ -12,7 +12,8 @@
     """A workload manager in front of query engines."""
 
 
-for command in (serve.serve, serve.check, serve.schema, serve.version):
+for command in (serve.serve, serve.check, serve.schema, serve.version, running.members, running.duties, keys.keys,
+                lab.lab):
     main.add_command(command)
 
 __all__ = ["main"]
--- /dev/null
+++ b/decklb/cli/keys.py
@@ -0,0 +1,58 @@
+"""The cluster's key file."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TypeVar
+
+import click
+
+T = TypeVar("T")
+
+
+@click.group()
+def keys() -> None:
+    """The key file that seals what members say to one another."""
+
+
+@keys.command()
+@click.argument("path")
+def new(path: str) -> None:
+    """Make a key file with one key; never over one that is there."""
+    from decklb.cluster import keyfile
+
+    key = keyfile.make()
+    _do(lambda: keyfile.write(path, [key], fresh=True))
+    click.echo(f"{path}: key {key.ident}")
+
+
+@keys.command(name="list")
+@click.argument("path")
+def list_(path: str) -> None:
+    """Name the keys, the one that seals first. Secrets are not shown."""
+    from decklb.cluster import keyfile
+
+    for i, key in enumerate(_do(lambda: keyfile.read(path))):
+        click.echo(f"{key.ident}  {key.made}  {'seals and opens' if i == 0 else 'opens'}")
+
+
+@keys.command()
+@click.argument("path")
+@click.option("--step", type=click.Choice(["add", "promote", "drop"]), required=True,
+              help="One of three, in this order; each goes to all members, with SIGHUP, before the next.")
+def rotate(path: str, step: str) -> None:
+    """One step of replacing the key."""
+    from decklb.cluster import keyfile
+
+    ring = _do(lambda: keyfile.rotate(keyfile.read(path), step, keyfile.make()))
+    _do(lambda: keyfile.write(path, ring))
+    click.echo(f"{path}: {len(ring)} keys, {ring[0].ident} seals; bring it to all members and send each SIGHUP")
+
+
+def _do(call: Callable[[], T]) -> T:
+    from decklb.cluster.keyfile import KeyFileError
+
+    try:
+        return call()
+    except KeyFileError as error:
+        raise click.ClickException(str(error)) from error
--- a/decklb/cli/serve.py
+++ b/decklb/cli/serve.py
@@ -26,7 +26,11 @@
 
     from decklb.daemon.service import Service
 
-    Service(reactor, _load(path, settings), lambda: configuration.load(path, settings)).run()
+    try:
+        service = Service(reactor, _load(path, settings), lambda: configuration.load(path, settings))
+    except configuration.ConfigError as error:
+        raise click.ClickException(str(error)) from error
+    service.run()
 
 
 @click.command()
--- /dev/null
+++ b/decklb/cluster/node.py
@@ -0,0 +1,275 @@
+"""One instance of the cluster, whole but for its I/O: datagrams and time go in, datagrams and duties to run come out.
+
+The daemon drives it with sockets, the lab with a simulated network. Both call `receive`, `tick` (no later than `due`)
+and `ended`, and then empty `out`, `starts`, `probed` and `notices`.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from decklb.cluster import messages as m
+from decklb.cluster.duties import Duties, Start
+from decklb.cluster.membership import LATE, Address, Events, Member, Membership
+from decklb.cluster.messages import ALIVE, DEAD, DOWN, LEFT, SUSPECT, Disclaim, Result, WireError
+from decklb.cluster.ownership import Lamport, Ranking
+from decklb.cluster.sealing import Replays, Sealer
+from decklb.cluster.settings import DutySettings, MembershipSettings
+from decklb.cluster.timers import Timer, Timers
+from decklb.cluster.verdicts import AGAIN, Verdicts
+
+STATES = {ALIVE: "alive", SUSPECT: "suspect", DEAD: "dead", LEFT: "left"}
+
+
+@dataclass(slots=True)
+class Notice:
+    """Something that operators read in the log."""
+
+    event: str
+    fields: dict[str, Any] = field(default_factory=dict)
+
+
+class Node:
+    """Membership, ownership, duties of one kind and what is held of their subjects, behind one door."""
+
+    def __init__(self, membership: MembershipSettings, duty: DutySettings | None, name: str, address: Address,
+                 sealer: Sealer, rng: random.Random, now: float, wall: float, ranking: Ranking | None = None) -> None:
+        """`now` is a monotonic clock, `wall` Unix time, both in ms. Rankings may be shared where many nodes are tried
+        in one process: they depend on names alone."""
+        self.s, self.sealer, self.rng = membership, sealer, rng
+        self.out: list[tuple[Address, bytes]] = []
+        self.starts: list[Start] = []
+        self.probed: list[tuple[str, bool]] = []
+        self.notices: list[Notice] = []
+        self.dropped: Counter[str] = Counter()  # datagrams that could not be opened or read, by reason
+        self.sent_bytes = self.sent = self.received = 0
+        self._wall = wall - now
+        self._seq = 0
+        self._window = Replays(membership.skew)
+        self.timers, self.lamport = Timers(), Lamport()
+        # The older run has the lower number, and no two have the same.
+        boot = (int(wall) << 10 | rng.getrandbits(10)) & ((1 << 53) - 1)
+        self.membership = Membership(membership, name, address, boot, int(wall), rng, self.timers, self._post,
+                                     Events(self._changed, self._conflict, self._ready), now)
+        self.ranking = ranking if ranking is not None else Ranking()
+        self.ranking.add(name, membership.weight)
+        self.listed: Collection[str] = ()  # subjects that the list of engines calls up
+        self.verdicts: Verdicts | None = None
+        self.duties: Duties | None = None
+        self._review: Timer | None = None
+        if duty is not None:
+            verdicts = Verdicts(duty)
+            self.verdicts = verdicts
+            self.duties = Duties(duty, name, self.ranking, verdicts, self.lamport, self.timers, self.wall,
+                                 self.starts.append, self._tell)
+            self.timers.at(now + AGAIN * rng.random(), self._effects)
+
+    def wall(self, now: float) -> float:
+        """Unix time in ms at a moment of the monotonic clock."""
+        return now + self._wall
+
+    # Driven from outside.
+
+    def start(self, now: float, seeds: Collection[Address]) -> None:
+        """Look for the others."""
+        self.membership.start(now, seeds)
+
+    def due(self) -> float:
+        """When `tick` is to be called next."""
+        return self.timers.next()
+
+    def tick(self, now: float, wall: float) -> None:
+        """What is due by now."""
+        self._wall = wall - now
+        late = now - self.timers.next()
+        if late > LATE * self.s.interval:
+            # Stopped, swapped out or starved: nothing that was missed meanwhile speaks against others.
+            self.membership.held_up(now, late)
+            self.notices.append(Notice("held-up", {"late_ms": round(late)}))
+        self.membership.now = now
+        self.timers.run(now)
+
+    def receive(self, now: float, wall: float, data: bytes, address: Address) -> None:
+        """A datagram. What can't be opened or read is counted and dropped, and never answered."""
+        self._wall = wall - now
+        try:
+            envelope = m.read(self.sealer.open(data))
+            if envelope.sender == self.membership.me.name and envelope.boot == self.membership.me.boot:
+                raise WireError("own")
+            self._window.check(envelope, wall)
+        except WireError as error:
+            self.dropped[error.reason] += 1
+            return
+        self.received += 1
+        self.membership.now = now
+        self.lamport.hear(envelope.clock)
+        self.membership.handle(now, envelope.sender, envelope.boot, address, envelope.body)
+        if self.duties is not None:
+            for message in envelope.body:
+                if isinstance(message, Result) and message.kind == self.duties.s.kind:
+                    if self.duties.heard(now, message):
+                        self._spread(message)
+                elif isinstance(message, Disclaim) and message.kind == self.duties.s.kind \
+                        and self.duties.disclaimed(now, message):
+                    self._spread(message)
+
+    def ended(self, now: float, subject: str, ok: bool) -> None:
+        """A duty that `starts` asked for has been run."""
+        self.membership.now = now
+        if self.duties is not None:
+            self.duties.ended(now, subject, ok)
+
+    def subjects(self, now: float, cold: Mapping[str, float], listed: Collection[str]) -> None:
+        """All engines of the list, until when (wall clock) each is cold, and those that it calls up."""
+        self.listed = frozenset(listed)
+        self.membership.now = now
+        if self.duties is not None:
+            self.duties.subjects(now, cold)
+
+    def rekey(self, sealer: Sealer) -> None:
+        """Another ring, or the same with another salt."""
+        self.sealer = sealer
+
+    def leave(self, now: float) -> None:
+        """Own nothing from now on, and say so."""
+        self.membership.now = now
+        self.membership.leave(now)
+        if self.duties is not None:
+            self.duties.review(now, (), False)
+
+    # Inside.
+
+    def _post(self, address: Address, messages: list[bytes], news: bool) -> None:
+        if self.membership.yielding:  # whoever has the name speaks for it
+            return
+        room = m.room(self.membership.me.name)
+        body: list[bytes] = []
+        left = room
+        for message in messages:
+            if len(message) > left or len(body) >= m.MOST_BODY:
+                self._send(address, body)
+                body, left = [], room
+            body.append(message)
+            left -= len(message)
+        if news:
+            body += self.membership.take(left)[: m.MOST_BODY - len(body)]
+        if body:
+            self._send(address, body)
+
+    def _send(self, address: Address, body: list[bytes]) -> None:
+        me = self.membership.me
+        self._seq += 1
+        data = self.sealer.seal(m.envelope(me.name, me.boot, self._seq,
+                                           max(0, int(self.wall(self.membership.now))), self.lamport.value, body))
+        self.sent += 1
+        self.sent_bytes += len(data)
+        self.out.append((address, data))
+
+    def _tell(self, message: Result | Disclaim) -> None:
+        """News of our own duties, which holds here as it does elsewhere."""
+        now = self.membership.now
+        assert self.duties is not None
+        if isinstance(message, Result):
+            if self.duties.heard(now, message):
+                self._spread(message)
+                self.notices.append(Notice("duty-result", {"subject": message.subject, "term": message.term,
+                                                           "up": message.state != DOWN}))
+        else:  # said again now and then, for those that came later
+            if self.duties.disclaimed(now, message):
+                self.notices.append(Notice("duty-handed-on", {"subject": message.subject, "rest_ms": message.rest}))
+            self._spread(message)
+
+    def _spread(self, message: Result | Disclaim) -> None:
+        subject = (message.kind, message.subject, "" if isinstance(message, Result) else message.by)
+        self.membership.tell(subject, m.pack(message))
+
+    def _changed(self, now: float, member: Member, before: int) -> None:
+        self.ranking.add(member.name, member.weight)
+        if before != member.state:
+            self.notices.append(Notice("member", {"member": member.name, "state": STATES[member.state],
+                                                  "before": STATES.get(before, "unknown"), "life": member.life}))
+        self._review_soon(now)
+
+    def _ready(self, now: float) -> None:
+        self.notices.append(Notice("settled", {"members": len(self.membership.live) + 1}))
+        self._review_soon(now)
+
+    def _conflict(self, now: float, address: Address, yielding: bool) -> None:
+        self.notices.append(Notice("name-conflict", {"member": self.membership.me.name, "yields": yielding,
+                                                     "other": f"{address[0]}:{address[1]}"}))
+        self._review_soon(now)
+
+    def _review_soon(self, now: float) -> None:
+        # Changes come in bursts; one look at all of them moves each duty at most once.
+        if self._review is None:
+            self._review = self.timers.at(now + self.s.gossip, self._review_now)
+
+    def _review_now(self, now: float) -> None:
+        self._review = None
+        if self.duties is not None:
+            self.duties.review(now, self.membership.able(), self.membership.minority(now))
+        known = self.membership.members
+        for name in [n for n in self.ranking.weights if n not in known]:
+            self.ranking.remove(name)
+
+    def _effects(self, now: float) -> None:
+        assert self.verdicts is not None
+        surge = self.verdicts.surge
+        self.probed += self.verdicts.effects(now, self.listed)
+        if surge != self.verdicts.surge:
+            self.notices.append(Notice("all-down-doubted" if surge is None else "all-down-over"))
+        self.timers.at(now + AGAIN / 4, self._effects)
+
+    # For operators.
+
+    def members(self, now: float) -> list[dict[str, Any]]:
+        """All members as this instance sees them."""
+        view = self.membership
+        return [{"name": x.name, "address": f"{x.address[0]}:{x.address[1]}", "state": STATES[x.state],
+                 "life": x.life, "settled": x.ready, "weight": x.weight, "since_ms": max(0, round(now - x.changed)),
+                 "self": x is view.me} for x in sorted(view.members.values(), key=lambda x: x.name)]
+
+    def duty_rows(self, now: float) -> list[dict[str, Any]]:
+        """All duties: owner by this instance's view, term, last result and its age in ms.
+
+        Of duties of others only what is out of the ordinary is told between members: `up` is then None.
+        """
+        if self.duties is None or self.verdicts is None:
+            return []
+        passed = self.duties.passed.now(now)
+        rows = []
+        for subject in sorted(self.ranking.duties()):
+            duty, held = self.duties.duties.get(subject), self.verdicts.held.get(subject)
+            own = duty is not None and duty.owned
+            up: bool | None = None
+            age: float | None = None
+            if duty is not None and duty.owned and duty.ok is not None:
+                up, age = duty.ok, now - duty.ended
+            elif held is not None and held.state:
+                up, age = held.state != DOWN, now - held.heard
+            rows.append({"kind": self.duties.s.kind, "subject": subject,
+                         "owner": self.ranking.owner(subject, self.duties.able, passed.get(subject, ())),
+                         "term": duty.term if duty is not None and own else (held.term if held else None),
+                         "up": up, "age_ms": None if age is None else round(age), "own": own,
+                         "down": self.verdicts.down(subject), "passed": sorted(passed.get(subject, ()))})
+        return rows
+
+    def health(self) -> dict[str, Any]:
+        """Counters."""
+        view = self.membership
+        made: dict[str, Any] = {
+            "doubt": view.awareness.doubt, "probes": view.counters.probes, "failed_probes": view.counters.failed_probes,
+            "refuted": view.counters.refuted, "held_up": view.counters.held_up, "conflicts": view.counters.conflicts,
+            "sent": self.sent, "sent_bytes": self.sent_bytes, "received": self.received, "dropped": dict(self.dropped),
+            "news": len(view.news), "minority": view.minority(view.now), "yielding": view.yielding}
+        if self.duties is not None and self.verdicts is not None:
+            c = self.duties.counters
+            made["duties"] = {"owned": sum(d.owned for d in self.duties.duties.values()), "started": c.started,
+                              "failed": c.failed, "overruns": c.overruns, "gained": c.gained, "lost": c.lost,
+                              "handed_on": c.handed_on, "running": self.duties.running,
+                              "older_results": self.verdicts.dropped, "doubted": self.verdicts.surge is not None}
+        return made
--- a/decklb/cluster/settings.py
+++ b/decklb/cluster/settings.py
@@ -18,7 +18,7 @@
     indirect: int = 3  # members asked to try
     suspicion: float = 3.0  # intervals, times log10 of the members, that a suspect has to refute, where many agree
     suspicion_most: float = 3.0  # times that, where nobody else agrees
-    retransmit: int = 4  # times log10 of the members that a piece of news is sent
+    retransmit: int = 6  # times that a member sends a piece of news, beside 1.5 times the logarithm of the members
     exchange: float = 5000.0  # between full exchanges
     settle: float = 3000.0  # after a start in which duties are left to others, unless the members were heard before
     lately: float = 600_000.0  # for which a dead member counts as known
