Probe engines as a shared duty in the daemon; show members and duties over a control socket

Need: the duties want sockets, probes, and a way for operators to look at them. Change: cluster/runtime.py carries a node on UDP; probers over RESP (ping) and PostgreSQL (Sync) on connections of their own; verdicts reach the module as Probed events, NOCONN leaving the engine out as an own failure to connect does; a Unix socket answers decklb members and decklb duties; keys rotate by SIGHUP.

--- a/decklb/core/dispatcher.py
+++ b/decklb/core/dispatcher.py
@@ -111,6 +111,10 @@
         """The whole list of engines, as last heard."""
         self._post(api.Members(entries, True))
 
+    def probed(self, engine: str, outcome: Outcome) -> None:
+        """What probes by any member found of an engine; NOCONN: it can't be reached."""
+        self._post(api.Probed(engine, outcome, 0.0))
+
     def close(self) -> None:
         """The process is about to end: the module answers all that is open."""
         self._post(api.Closing())
--- a/decklb/daemon/assembly.py
+++ b/decklb/daemon/assembly.py
@@ -6,12 +6,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from decklb.config import Config
+from decklb.config import Config, ConfigError
 from decklb.core.dispatcher import Dispatcher
 from decklb.core.ports import Clock
 
 if TYPE_CHECKING:
     from decklb.bgp.speaker import Speaker
+    from decklb.cluster.runtime import ClusterService
     from decklb.net.engines import RespEngines
     from decklb.net.front import Front
     from decklb.pg.engines import PgEngines
@@ -52,3 +53,32 @@
     from decklb.bgp.speaker import Speaker
 
     return Speaker(reactor, clock, config.bgp)
+
+
+def cluster(reactor: Any, clock: Clock, config: Config, probed: Callable[[str, bool], None]) -> ClusterService | None:
+    """The member of a cluster, where there is a section for it; its probes speak as the engines do.
+
+    Raises ConfigError where the key file can't be used.
+    """
+    if config.cluster is None:
+        return None
+    from decklb.cluster.keyfile import KeyFileError
+    from decklb.cluster.runtime import ClusterService
+    from decklb.wire.prober import ProbeLink, Prober
+
+    link: type[ProbeLink]
+    if config.postgres is None:
+        from decklb.net.prober import RespProbe
+
+        link = RespProbe
+    else:
+        from decklb.pg import prober
+
+        link = prober.links(config.postgres.startup)
+    # Kept from one probe to the next, also where periods are stretched.
+    duty = config.cluster.probing
+    idle = 2.0 * duty.period * duty.minority_factor * duty.cold_factor if duty is not None else 0.0
+    try:
+        return ClusterService(reactor, clock, config.cluster, Prober(reactor, clock, link, idle), probed)
+    except KeyFileError as error:
+        raise ConfigError(str(error)) from error
--- a/decklb/daemon/service.py
+++ b/decklb/daemon/service.py
@@ -4,6 +4,7 @@
 
 import random
 import signal
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -11,9 +12,9 @@
 
 from decklb.config import Config, ConfigError
 from decklb.core.ports import Timer
-from decklb.daemon.assembly import assemble, speaker
+from decklb.daemon.assembly import assemble, cluster, speaker
 from decklb.daemon.garbage import Collector
-from decklb.interface import Entry, Phase
+from decklb.interface import Entry, Outcome, Phase
 from decklb.net.directory import Directory
 from decklb.wire.clock import ReactorClock
 
@@ -35,6 +36,7 @@
         parts = assemble(reactor, self.clock, config, self.rng.randrange, self.ready)
         self.dispatcher, self.front, self.engines = parts.dispatcher, parts.front, parts.engines
         self.speaker = speaker(reactor, self.clock, config)
+        self.cluster = cluster(reactor, self.clock, config, self._probed)
         self.directory = Directory(self.clock, config.resolver, self.rng.randrange, self._list)
         self.up = 0  # engines that the list calls up
         self.listening = self.stopping = self.late = False
@@ -55,6 +57,10 @@
         self.listening = True
         if self.speaker is not None:
             self.speaker.start()
+        if self.cluster is not None:
+            self.cluster.start()
+        if c.control:
+            self._open_control(c.control)
         self._say()
         logger.info("{name} listens on {host}:{port}, {clients} clients at most", event="listening", name=c.name,
                     host=c.listen[0], port=self.port.getHost().port, clients=c.most_clients)
@@ -62,6 +68,23 @@
     def _open_directory(self) -> None:
         self.reactor.listenUDP(0, self.directory, interface=self.config.listen[0], maxPacketSize=65536)
 
+    def _open_control(self, path: str) -> None:
+        from decklb.daemon.control import listen
+
+        listen(self.reactor, path, {"members": self._members, "duties": self._duties})
+
+    def _members(self) -> dict[str, Any]:
+        if self.cluster is None:
+            return {"members": [], "health": {"minority": False, "yielding": False}}
+        return {"members": self.cluster.members(), "health": self.cluster.node.health()}
+
+    def _duties(self) -> list[dict[str, Any]]:
+        return [] if self.cluster is None else self.cluster.duties()
+
+    def _probed(self, engine: str, up: bool) -> None:
+        """What the members hold of an engine that the list calls up."""
+        self.dispatcher.probed(engine, Outcome.GOOD if up else Outcome.NOCONN)
+
     def reload(self) -> None:
         """SIGHUP: take the new directory and a newer list; the rest holds from the start on. No connection ends."""
         if self.stopping:
@@ -84,6 +107,8 @@
             self.directory.move(new.resolver)
             if self.directory.transport is None:
                 self._open_directory()
+        if self.cluster is not None:
+            self.cluster.reload()
         logger.info("SIGHUP: configuration read, list {index}, resolver {resolver}", event="reloaded",
                     index=self.directory.index, resolver=new.resolver)
 
@@ -104,6 +129,10 @@
         self.up = sum(e.phase is Phase.UP for e in entries)
         self.engines.addresses(addresses)
         self.dispatcher.members(entries)
+        if self.cluster is not None:
+            until = time.time() * 1000.0 - self.clock.now() + self.config.settings.cold
+            self.cluster.engines({e.engine: e.ready_at + until if e.ready_at else 0.0 for e in entries},
+                                 {e.engine for e in entries if e.phase is Phase.UP}, addresses)
         self._say()
 
     def terminate(self, *_: object) -> None:
@@ -113,6 +142,8 @@
         self.stopping = True
         logger.info("SIGTERM: draining, {open} requests open", event="draining", open=self.dispatcher.open)
         self._say()
+        if self.cluster is not None:
+            self.cluster.close()
         self.front.announce()
         self.clock.call_later(GRACE, self._drain)
         longest = max(c.deadline for c in self.config.settings.classes.values())
--- a/decklb/rules.py
+++ b/decklb/rules.py
@@ -373,6 +373,8 @@
         """Load in threads a core; the mix of classes out is taken from what this front sends."""
         if x := self.fleet.engines.get(e.engine):
             x.asked = LONG_AGO
+            if e.outcome is Outcome.NOCONN:  # word of those that probe it: as after an own failure to connect
+                self._leave_out(x)
             if e.outcome is Outcome.GOOD and "rif" in e.report:
                 x.load, x.read, self.seen = e.report["rif"] * self.mix / x.cores, self.now, self.now
                 # Reports are late: with one limit for all, every front that waits would send at once.
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -15,6 +15,8 @@
 import time
 from pathlib import Path
 
+from decklb.net import resp
+
 ROOT = Path(__file__).parent.parent
 DEADLINE = 20.0  # seconds after which a test gives up waiting; nothing is judged by time
 
@@ -63,15 +65,19 @@
 
 
 class Program:
-    """`python -m decklb serve` as a subprocess; `port` is where it listens."""
+    """`python -m decklb serve` as a subprocess; `port` is where it listens. `xml`: operators' settings."""
 
-    def __init__(self, config):
+    def __init__(self, config, xml=""):
         self.folder = tempfile.TemporaryDirectory()
         self.path = Path(self.folder.name) / "config.json"
         self.configure(config)
         self.lines = []
-        self.process = subprocess.Popen([sys.executable, "-m", "decklb", "serve"], cwd=ROOT,
-                                        env=os.environ | {"LB_CONFIG": str(self.path)},
+        env = os.environ | {"LB_CONFIG": str(self.path)}
+        if xml:
+            path = Path(self.folder.name) / "settings.xml"
+            path.write_text(xml)
+            env["DECKLB_SETTINGS"] = str(path)
+        self.process = subprocess.Popen([sys.executable, "-m", "decklb", "serve"], cwd=ROOT, env=env,
                                         stderr=subprocess.PIPE, text=True)
         threading.Thread(target=self._read, daemon=True).start()
         wait_for(lambda: self.logged("listens on") or self.process.poll() is not None, "listening")
@@ -103,6 +109,32 @@
         self.folder.cleanup()
 
 
+class PingEngine:
+    """An engine that answers pings and writes down when they came; `deaf` connections are read and not answered."""
+
+    def __init__(self, loop):
+        self.loop, self.pings, self.deaf = loop, [], False
+        self.server = loop.run(asyncio.start_server(self._serve, "127.0.0.1", 0))
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def close(self):
+        self.loop.loop.call_soon_threadsafe(self.server.close)
+
+    async def _serve(self, reader, writer):
+        parser = resp.RespReader()
+        try:
+            while data := await reader.read(65536):
+                for parts in parser.feed(data):
+                    if parts[0] == b"ping":
+                        self.pings.append(time.monotonic())
+                        if not self.deaf:
+                            writer.write(resp.pack(parts[1], b"well", b"-", b""))
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+
+
 class PgEngine:
     """Speaks the backend's side of PostgreSQL's protocol 3.0, as far as its public specification binds a client.
 
