Let one node carry duties of several kinds; quicker search where most owners are away

Need: a duty is (kind, subject); nodes held one kind, and kinds on one subject would have shared an owner. Change: a book for each kind, rankings salted by it; reviews after two rounds of news; the search for duties whose best eight are all away asks sets, not generators.

--- a/decklb/cluster/duties.py
+++ b/decklb/cluster/duties.py
@@ -10,6 +10,7 @@
 from collections import deque
 from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
+from typing import Any
 
 import xxhash
 
@@ -267,3 +268,33 @@
             self._rest_timer = None
         if (when := self.passed.next()) < math.inf:
             self._rest_timer = self.timers.at(max(now, when) + 1.0, lambda t: self.review(t, self.able, self.slow))
+
+    # For operators.
+
+    def rows(self, now: float) -> list[dict[str, Any]]:
+        """All duties of this kind; see Node.duty_rows."""
+        passed = self.passed.now(now)
+        rows = []
+        for subject in sorted(self.ranking.duties()):
+            duty, held = self.duties.get(subject), self.verdicts.held.get(subject)
+            own = duty is not None and duty.owned
+            up: bool | None = None
+            age: float | None = None
+            if duty is not None and own and duty.ok is not None:
+                up, age = duty.ok, now - duty.ended
+            elif held is not None and held.state:
+                up, age = held.state != DOWN, now - held.heard
+            rows.append({"kind": self.s.kind, "subject": subject,
+                         "owner": self.ranking.owner(subject, self.able, passed.get(subject, ())),
+                         "term": duty.term if duty is not None and own else (held.term if held else None),
+                         "up": up, "age_ms": None if age is None else round(age), "own": own,
+                         "down": self.verdicts.down(subject), "passed": sorted(passed.get(subject, ()))})
+        return rows
+
+    def health(self) -> dict[str, Any]:
+        """Counters."""
+        c = self.counters
+        return {"owned": sum(d.owned for d in self.duties.values()), "running": self.running, "started": c.started,
+                "failed": c.failed, "overruns": c.overruns, "gained": c.gained, "lost": c.lost,
+                "handed_on": c.handed_on, "older_results": self.verdicts.dropped,
+                "doubted": self.verdicts.surge is not None}
--- a/decklb/cluster/node.py
+++ b/decklb/cluster/node.py
@@ -34,16 +34,17 @@
 
 
 class Node:
-    """Membership, ownership, duties of one kind and what is held of their subjects, behind one door."""
+    """Membership, ownership, duties of any kinds and what is held of their subjects, behind one door."""
 
-    def __init__(self, membership: MembershipSettings, duty: DutySettings | None, name: str, address: Address,
-                 sealer: Sealer, rng: random.Random, now: float, wall: float, ranking: Ranking | None = None) -> None:
-        """`now` is a monotonic clock, `wall` Unix time, both in ms. Rankings may be shared where many nodes are tried
-        in one process: they depend on names alone."""
+    def __init__(self, membership: MembershipSettings, duties: Collection[DutySettings], name: str, address: Address,
+                 sealer: Sealer, rng: random.Random, now: float, wall: float,
+                 rankings: Mapping[str, Ranking] | None = None) -> None:
+        """`now` is a monotonic clock, `wall` Unix time, both in ms. Rankings, one a kind, may be shared where many
+        nodes are tried in one process: they depend on names alone."""
         self.s, self.sealer, self.rng = membership, sealer, rng
         self.out: list[tuple[Address, bytes]] = []
         self.starts: list[Start] = []
-        self.probed: list[tuple[str, bool]] = []
+        self.probed: list[tuple[str, str, bool]] = []  # kind, subject, whether it is up
         self.notices: list[Notice] = []
         self.dropped: Counter[str] = Counter()  # datagrams that could not be opened or read, by reason
         self.sent_bytes = self.sent = self.received = 0
@@ -55,17 +56,15 @@
         boot = (int(wall) << 10 | rng.getrandbits(10)) & ((1 << 53) - 1)
         self.membership = Membership(membership, name, address, boot, int(wall), rng, self.timers, self._post,
                                      Events(self._changed, self._conflict, self._ready), now)
-        self.ranking = ranking if ranking is not None else Ranking()
-        self.ranking.add(name, membership.weight)
-        self.listed: Collection[str] = ()  # subjects that the list of engines calls up
-        self.verdicts: Verdicts | None = None
-        self.duties: Duties | None = None
+        self.listed: dict[str, Collection[str]] = {}  # by kind: subjects of which verdicts count
         self._review: Timer | None = None
-        if duty is not None:
-            verdicts = Verdicts(duty)
-            self.verdicts = verdicts
-            self.duties = Duties(duty, name, self.ranking, verdicts, self.lamport, self.timers, self.wall,
-                                 self.starts.append, self._tell)
+        self.books: dict[str, Duties] = {}  # by kind
+        for duty in duties:
+            ranking = (rankings or {}).get(duty.kind) or Ranking(duty.kind)
+            ranking.add(name, membership.weight)
+            self.books[duty.kind] = Duties(duty, name, ranking, Verdicts(duty), self.lamport, self.timers, self.wall,
+                                           self.starts.append, self._tell)
+        if self.books:
             self.timers.at(now + AGAIN * rng.random(), self._effects)
 
     def wall(self, now: float) -> float:
@@ -108,27 +107,25 @@
         self.membership.now = now
         self.lamport.hear(envelope.clock)
         self.membership.handle(now, envelope.sender, envelope.boot, address, envelope.body)
-        if self.duties is not None:
-            for message in envelope.body:
-                if isinstance(message, Result) and message.kind == self.duties.s.kind:
-                    if self.duties.heard(now, message):
-                        self._spread(message)
-                elif isinstance(message, Disclaim) and message.kind == self.duties.s.kind \
-                        and self.duties.disclaimed(now, message):
+        for message in envelope.body:
+            if isinstance(message, Result) and (book := self.books.get(message.kind)) is not None:
+                if book.heard(now, message):
                     self._spread(message)
+            elif isinstance(message, Disclaim) and (book := self.books.get(message.kind)) is not None \
+                    and book.disclaimed(now, message):
+                self._spread(message)
 
-    def ended(self, now: float, subject: str, ok: bool) -> None:
+    def ended(self, now: float, kind: str, subject: str, ok: bool) -> None:
         """A duty that `starts` asked for has been run."""
         self.membership.now = now
-        if self.duties is not None:
-            self.duties.ended(now, subject, ok)
+        self.books[kind].ended(now, subject, ok)
 
-    def subjects(self, now: float, cold: Mapping[str, float], listed: Collection[str]) -> None:
-        """All engines of the list, until when (wall clock) each is cold, and those that it calls up."""
-        self.listed = frozenset(listed)
+    def subjects(self, now: float, kind: str, cold: Mapping[str, float], listed: Collection[str]) -> None:
+        """All subjects of a kind, until when (wall clock) each is cold, and those of which verdicts count: of engines
+        those that the list calls up."""
+        self.listed[kind] = frozenset(listed)
         self.membership.now = now
-        if self.duties is not None:
-            self.duties.subjects(now, cold)
+        self.books[kind].subjects(now, cold)
 
     def rekey(self, sealer: Sealer) -> None:
         """Another ring, or the same with another salt."""
@@ -138,8 +135,8 @@
         """Own nothing from now on, and say so."""
         self.membership.now = now
         self.membership.leave(now)
-        if self.duties is not None:
-            self.duties.review(now, (), False)
+        for book in self.books.values():
+            book.review(now, (), False)
 
     # Inside.
 
@@ -171,16 +168,16 @@
 
     def _tell(self, message: Result | Disclaim) -> None:
         """News of our own duties, which holds here as it does elsewhere."""
-        now = self.membership.now
-        assert self.duties is not None
+        now, book = self.membership.now, self.books[message.kind]
         if isinstance(message, Result):
-            if self.duties.heard(now, message):
+            if book.heard(now, message):
                 self._spread(message)
-                self.notices.append(Notice("duty-result", {"subject": message.subject, "term": message.term,
-                                                           "up": message.state != DOWN}))
+                self.notices.append(Notice("duty-result", {"kind": message.kind, "subject": message.subject,
+                                                           "term": message.term, "up": message.state != DOWN}))
         else:  # said again now and then, for those that came later
-            if self.duties.disclaimed(now, message):
-                self.notices.append(Notice("duty-handed-on", {"subject": message.subject, "rest_ms": message.rest}))
+            if book.disclaimed(now, message):
+                self.notices.append(Notice("duty-handed-on", {"kind": message.kind, "subject": message.subject,
+                                                              "rest_ms": message.rest}))
             self._spread(message)
 
     def _spread(self, message: Result | Disclaim) -> None:
@@ -188,7 +185,8 @@
         self.membership.tell(subject, m.pack(message))
 
     def _changed(self, now: float, member: Member, before: int) -> None:
-        self.ranking.add(member.name, member.weight)
+        for book in self.books.values():
+            book.ranking.add(member.name, member.weight)
         if before != member.state:
             self.notices.append(Notice("member", {"member": member.name, "state": STATES[member.state],
                                                   "before": STATES.get(before, "unknown"), "life": member.life}))
@@ -206,22 +204,23 @@
     def _review_soon(self, now: float) -> None:
         # Changes come in bursts; one look at all of them moves each duty at most once.
         if self._review is None:
-            self._review = self.timers.at(now + self.s.gossip, self._review_now)
+            self._review = self.timers.at(now + 2 * self.s.gossip, self._review_now)
 
     def _review_now(self, now: float) -> None:
         self._review = None
-        if self.duties is not None:
-            self.duties.review(now, self.membership.able(), self.membership.minority(now))
-        known = self.membership.members
-        for name in [n for n in self.ranking.weights if n not in known]:
-            self.ranking.remove(name)
+        able, minority, known = self.membership.able(), self.membership.minority(now), self.membership.members
+        for book in self.books.values():
+            book.review(now, able, minority)
+            for name in [n for n in book.ranking.weights if n not in known]:
+                book.ranking.remove(name)
 
     def _effects(self, now: float) -> None:
-        assert self.verdicts is not None
-        surge = self.verdicts.surge
-        self.probed += self.verdicts.effects(now, self.listed)
-        if surge != self.verdicts.surge:
-            self.notices.append(Notice("all-down-doubted" if surge is None else "all-down-over"))
+        for kind, book in self.books.items():
+            surge = book.verdicts.surge
+            self.probed += [(kind, subject, up)
+                            for subject, up in book.verdicts.effects(now, self.listed.get(kind, ()))]
+            if (surge is None) != (book.verdicts.surge is None):
+                self.notices.append(Notice("all-down-doubted" if surge is None else "all-down-over", {"kind": kind}))
         self.timers.at(now + AGAIN / 4, self._effects)
 
     # For operators.
@@ -238,25 +237,7 @@
 
         Of duties of others only what is out of the ordinary is told between members: `up` is then None.
         """
-        if self.duties is None or self.verdicts is None:
-            return []
-        passed = self.duties.passed.now(now)
-        rows = []
-        for subject in sorted(self.ranking.duties()):
-            duty, held = self.duties.duties.get(subject), self.verdicts.held.get(subject)
-            own = duty is not None and duty.owned
-            up: bool | None = None
-            age: float | None = None
-            if duty is not None and duty.owned and duty.ok is not None:
-                up, age = duty.ok, now - duty.ended
-            elif held is not None and held.state:
-                up, age = held.state != DOWN, now - held.heard
-            rows.append({"kind": self.duties.s.kind, "subject": subject,
-                         "owner": self.ranking.owner(subject, self.duties.able, passed.get(subject, ())),
-                         "term": duty.term if duty is not None and own else (held.term if held else None),
-                         "up": up, "age_ms": None if age is None else round(age), "own": own,
-                         "down": self.verdicts.down(subject), "passed": sorted(passed.get(subject, ()))})
-        return rows
+        return [row for book in self.books.values() for row in book.rows(now)]
 
     def health(self) -> dict[str, Any]:
         """Counters."""
@@ -266,10 +247,5 @@
             "refuted": view.counters.refuted, "held_up": view.counters.held_up, "conflicts": view.counters.conflicts,
             "sent": self.sent, "sent_bytes": self.sent_bytes, "received": self.received, "dropped": dict(self.dropped),
             "news": len(view.news), "minority": view.minority(view.now), "yielding": view.yielding}
-        if self.duties is not None and self.verdicts is not None:
-            c = self.duties.counters
-            made["duties"] = {"owned": sum(d.owned for d in self.duties.duties.values()), "started": c.started,
-                              "failed": c.failed, "overruns": c.overruns, "gained": c.gained, "lost": c.lost,
-                              "handed_on": c.handed_on, "running": self.duties.running,
-                              "older_results": self.verdicts.dropped, "doubted": self.verdicts.surge is not None}
+        made["duties"] = {kind: book.health() for kind, book in self.books.items()}
         return made
--- a/decklb/cluster/ownership.py
+++ b/decklb/cluster/ownership.py
@@ -20,12 +20,6 @@
 KEEP = 8  # best members kept of each duty
 
 
-def score(member: str, weight: float, duty: str) -> float:
-    """Higher owns; the same at every member."""
-    seed = xxhash.xxh64_intdigest(member.encode())
-    return _score(seed, weight, duty)
-
-
 def _score(seed: int, weight: float, duty: str) -> float:
     return -weight / math.log((xxhash.xxh64_intdigest(duty.encode(), seed) + 0.5) / 18446744073709551616.0)
 
@@ -33,13 +27,15 @@
 class Ranking:
     """The best members of each duty, among all members that are known, alive or not."""
 
-    def __init__(self, keep: int = KEEP) -> None:
-        self.keep = keep
+    def __init__(self, kind: str = "", keep: int = KEEP) -> None:
+        """Duties of different kinds on one subject have owners of their own."""
+        self.kind, self.keep = kind, keep
         self.weights: dict[str, float] = {}
         self._seeds: dict[str, int] = {}
         self._best: dict[str, list[tuple[float, str]]] = {}  # highest score last
         self._of: dict[str, set[str]] = {}  # duties among whose best a member is
-        self._leads: dict[str, list[str]] | None = None  # duties whose best it is; made when it is asked for
+        # Duties whose best a member is, with the names of all their best; made when it is asked for.
+        self._leads: dict[str, list[tuple[str, tuple[str, ...]]]] | None = None
 
     def __contains__(self, duty: str) -> bool:
         return duty in self._best
@@ -56,7 +52,7 @@
             self.remove(member)
         self.weights[member] = weight
         self._leads = None
-        seed = self._seeds[member] = xxhash.xxh64_intdigest(member.encode())
+        seed = self._seeds[member] = xxhash.xxh64_intdigest(f"{self.kind}/{member}".encode())
         mine = self._of[member] = set()
         for duty, best in self._best.items():
             pair = (_score(seed, weight, duty), member)
@@ -121,22 +117,22 @@
                     break
         away = [n for n in self.weights if n not in able]
         if len(away) >= self.keep:  # all of a duty's best may be away
-            leads = self._led()
+            leads, here = self._led(), frozenset(able)
             for name in away:
-                for duty in leads.get(name, ()):
-                    if all(n not in able for _, n in self._best[duty]) and self.owner(duty, able) == me:
+                for duty, names in leads.get(name, ()):
+                    if here.isdisjoint(names) and self.owner(duty, here) == me:
                         found.add(duty)
         for duty, names in passed.items():
             if duty in self._best:
                 (found.add if self.owner(duty, able, names) == me else found.discard)(duty)
         return found
 
-    def _led(self) -> dict[str, list[str]]:
+    def _led(self) -> dict[str, list[tuple[str, tuple[str, ...]]]]:
         if self._leads is None:
             self._leads = {}
             for duty, best in self._best.items():
                 if best:
-                    self._leads.setdefault(best[-1][1], []).append(duty)
+                    self._leads.setdefault(best[-1][1], []).append((duty, tuple(n for _, n in best)))
         return self._leads
 
 
--- a/decklb/cluster/runtime.py
+++ b/decklb/cluster/runtime.py
@@ -40,8 +40,8 @@
         self.armed = float("inf")
         self.closed = False
         self.pumping = False
-        self.node = Node(settings.membership, settings.probing, settings.member, settings.bind, self._sealer(),
-                         random.Random(os.urandom(16)), clock.now(), wall())
+        self.node = Node(settings.membership, [settings.probing] if settings.probing else [], settings.member,
+                         settings.bind, self._sealer(), random.Random(os.urandom(16)), clock.now(), wall())
 
     def _sealer(self) -> Sealer:
         keys = keyfile.read(self.settings.keys)
@@ -72,7 +72,8 @@
     def engines(self, cold: Mapping[str, float], listed: set[str], addresses: Mapping[str, Address]) -> None:
         """The list of engines: until when (Unix ms) each is cold, which are up, and where they are."""
         self.addresses = addresses
-        self.node.subjects(self.clock.now(), cold, listed)
+        if self.settings.probing is not None:
+            self.node.subjects(self.clock.now(), self.settings.probing.kind, cold, listed)
         self._pump()
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:
@@ -106,9 +107,9 @@
             starts = list(node.starts)
             node.starts.clear()
             for start in starts:
-                self._probe(start.subject)
+                self._probe(start.kind, start.subject)
             probed, node.probed = node.probed, []
-            for engine, up in probed:
+            for _, engine, up in probed:
                 self.probed(engine, up)
             notices, node.notices = node.notices, []
             for notice in notices:
@@ -123,16 +124,16 @@
             self.armed = due
             self.timer = self.clock.call_later(max(0.0, due - self.clock.now()), self._tick)
 
-    def _probe(self, engine: str) -> None:
+    def _probe(self, kind: str, engine: str) -> None:
         address = self.addresses.get(engine)
         duty = self.settings.probing
         if address is None or duty is None:
-            return self._ended(engine, False)
-        self.prober.probe(engine, address, duty.timeout, lambda ok: self._ended(engine, ok))
+            return self._ended(kind, engine, False)
+        self.prober.probe(engine, address, duty.timeout, lambda ok: self._ended(kind, engine, ok))
 
-    def _ended(self, engine: str, ok: bool) -> None:
+    def _ended(self, kind: str, engine: str, ok: bool) -> None:
         if not self.closed:
-            self.node.ended(self.clock.now(), engine, ok)
+            self.node.ended(self.clock.now(), kind, engine, ok)
             self._pump()
 
     def close(self) -> None:
--- a/decklb/lab/cluster.py
+++ b/decklb/lab/cluster.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from decklb.cluster.duties import Duties, Start
 from decklb.cluster.messages import ALIVE, DEAD, Row
 from decklb.cluster.node import Node
 from decklb.cluster.ownership import Ranking
@@ -65,7 +66,7 @@
         """A cluster at its start; `warm`: all know all already, as after a long time without change."""
         world = World(seed, faults)
         made = cls(world, membership, duty, [f"motor-{i}" for i in range(engines)],
-                   ranking=SharedRanking() if shared else None, drift=drift, skew=skew)
+                   ranking=SharedRanking(duty.kind) if shared else None, drift=drift, skew=skew)
         made.cold = dict.fromkeys(made.engines, 0.0)
         if made.ranking is not None:
             for i in range(instances):
@@ -87,10 +88,11 @@
         """Start instance i, or start it again; `wall_back` sets its wall clock back by so many ms."""
         rng = random.Random(f"{self.world.rng.random()}/{i}")
         sealer = Sealer(self.membership.cluster, [bytes(KEY_BYTES)], rng.randbytes(SALT_BYTES))
+        rankings = {self.duty.kind: self.ranking} if self.ranking is not None else None
         host = Host(self.world, name or f"m{i}", address or self.address(i), lambda h: Node(
-            self.membership, self.duty, h.name, h.address, sealer, rng, h.now(), h.wall(), self.ranking),
+            self.membership, [self.duty], h.name, h.address, sealer, rng, h.now(), h.wall(), rankings),
             (2 * rng.random() - 1) * self.drift, (2 * rng.random() - 1) * self.skew - wall_back)
-        host.node.subjects(host.now(), self.cold, self.engines)
+        host.node.subjects(host.now(), self.duty.kind, self.cold, self.engines)
         self.hosts = [h for h in self.hosts if h.address != host.address] + [host]
         return self.world.add(host, self.seeds)
 
@@ -128,9 +130,13 @@
         """All may talk again."""
         self.world.cut = lambda source, target: False
 
-    def _run(self, host: Host, subject: str, term: int) -> tuple[float, bool]:
-        self.runs.append(Run(self.world.now, host.name, subject, term))
-        if subject in self.down or (host.name, subject) in self.unreachable:
+    def book(self, host: Host) -> Duties:
+        """The duties of one instance."""
+        return host.node.books[self.duty.kind]
+
+    def _run(self, host: Host, start: Start) -> tuple[float, bool]:
+        self.runs.append(Run(self.world.now, host.name, start.subject, start.term))
+        if start.subject in self.down or (host.name, start.subject) in self.unreachable:
             return self.duty.timeout, False
         return self.took, True
 
@@ -147,8 +153,7 @@
         """Who believes to own each duty, among those that are up."""
         found: dict[str, list[str]] = {e: [] for e in self.engines}
         for host in self.live():
-            assert host.node.duties is not None
-            for duty in host.node.duties.duties.values():
+            for duty in self.book(host).duties.values():
                 if duty.owned:
                     found[duty.subject].append(host.name)
         return found
@@ -172,8 +177,7 @@
         """The highest term that each host has heard of each subject: these may only rise."""
         found = {}
         for host in self.live():
-            assert host.node.verdicts is not None
-            for subject, verdict in host.node.verdicts.held.items():
+            for subject, verdict in self.book(host).verdicts.held.items():
                 found[host.name, subject] = verdict.term
         return found
 
--- a/decklb/lab/network.py
+++ b/decklb/lab/network.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from heapq import heappop, heappush
 
+from decklb.cluster.duties import Start
 from decklb.cluster.node import Node
 
 Address = tuple[str, int]
@@ -61,7 +62,7 @@
         self.faults = faults or Faults()
         self.hosts: dict[Address, Host] = {}
         self.cut: Callable[[Address, Address], bool] = lambda source, target: False
-        self.run_duty: Callable[[Host, str, int], tuple[float, bool]] = lambda host, subject, term: (1.0, True)
+        self.run_duty: Callable[[Host, Start], tuple[float, bool]] = lambda host, start: (1.0, True)
         self.on_notice: Callable[[Host, str, dict[str, object]], None] = lambda host, event, fields: None
         self.on_probed: Callable[[Host, str, bool], None] = lambda host, subject, up: None
         self.delivered = 0
@@ -141,15 +142,15 @@
             starts = list(node.starts)
             node.starts.clear()  # the list is the node's own: its duties append to it
             for start in starts:
-                took, ok = self.run_duty(host, start.subject, start.term)
-                self.after(took, lambda s=start.subject, ok=ok: self._ended(host, s, ok))  # type: ignore[misc]
+                took, ok = self.run_duty(host, start)
+                self.after(took, lambda s=start, ok=ok: self._ended(host, s, ok))  # type: ignore[misc]
         if node.notices:
             notices, node.notices = node.notices, []
             for notice in notices:
                 self.on_notice(host, notice.event, notice.fields)
         if node.probed:
             probed, node.probed = node.probed, []
-            for subject, up in probed:
+            for _, subject, up in probed:
                 self.on_probed(host, subject, up)
         due = host.at(node.due())
         if due < host.armed:
@@ -168,11 +169,11 @@
             host.node.tick(host.now() + 1e-6, host.wall())
             self.pump(host)
 
-    def _ended(self, host: Host, subject: str, ok: bool) -> None:
+    def _ended(self, host: Host, start: Start, ok: bool) -> None:
         if not host.up:
             return
         if host.paused:
-            self.after(5.0, lambda: self._ended(host, subject, ok))
+            self.after(5.0, lambda: self._ended(host, start, ok))
             return
-        host.node.ended(host.now(), subject, ok)
+        host.node.ended(host.now(), start.kind, start.subject, ok)
         self.pump(host)
--- a/tests/test_cluster_lab.py
+++ b/tests/test_cluster_lab.py
@@ -86,7 +86,7 @@
         c.world.cut = lambda source, target: c.address(0) in (source, target)
         fresh = c.start(0)
         c.world.run(c.world.now + MEMBERSHIP.settle - 100.0)
-        self.assertFalse(any(d.owned for d in fresh.node.duties.duties.values()))
+        self.assertFalse(any(d.owned for d in c.book(fresh).duties.values()))
         c.heal()
         c.world.run(c.world.now + KNOWN)
         self.assertEqual(c.one_owner(), [])
@@ -99,7 +99,7 @@
         first = next(h for h in c.hosts if h.name == "m1" and h is not second)
         self.assertTrue(second.node.membership.yielding)
         self.assertFalse(first.node.membership.yielding)
-        self.assertFalse(any(d.owned for d in second.node.duties.duties.values()))
+        self.assertFalse(any(d.owned for d in c.book(second).duties.values()))
         self.assertGreaterEqual(second.node.membership.counters.conflicts, 1)
         c.world.kill(second)
         c.hosts.remove(second)
@@ -138,16 +138,16 @@
         c.part(side)
         c.world.run(4 * SECOND + 4 * KNOWN)
         for names in (side, {h.name for h in c.hosts} - side):
-            owners = [d for n in names for d, x in c.host(n).node.duties.duties.items() if x.owned]
+            owners = [d for n in names for d, x in c.book(c.host(n)).duties.items() if x.owned]
             self.assertEqual(sorted(owners), sorted(c.engines))
-        self.assertEqual({h.name for h in c.hosts if h.node.duties.slow}, side)
+        self.assertEqual({h.name for h in c.hosts if c.book(h).slow}, side)
         before = c.terms()
         c.heal()
         c.world.run(c.world.now + 2 * DUTY.period)
         self.assertEqual((c.one_owner(), c.wrongly_dead()), ([], []))
         after = c.terms()
         self.assertTrue(all(after[k] >= v for k, v in before.items()))
-        self.assertFalse(any(h.node.duties.slow for h in c.hosts))
+        self.assertFalse(any(c.book(h).slow for h in c.hosts))
 
     def test_results_of_the_older_term_are_dropped(self):
         c = cluster(4, seed=5)
@@ -158,7 +158,7 @@
         c.world.run(c.world.now + 14 * DUTY.period)
         c.heal()
         c.world.run(c.world.now + 4 * DUTY.period)
-        held = {(v.term, v.owner, v.state) for h in c.hosts for s, v in h.node.verdicts.held.items() if s == "motor-1"}
+        held = {(v.term, v.owner, v.state) for v in (c.book(h).verdicts.held["motor-1"] for h in c.hosts)}
         self.assertEqual(len(held), 1, held)
 
     def test_cut_route_is_handed_on_and_stays_with_the_next(self):
@@ -170,7 +170,7 @@
         new = c.owners()["motor-7"]
         self.assertEqual(len(new), 1)
         self.assertNotEqual(new, [owner])
-        self.assertFalse(any(h.node.verdicts.down("motor-7") for h in c.hosts))
+        self.assertFalse(any(c.book(h).verdicts.down("motor-7") for h in c.hosts))
         self.assertEqual(c.probed, [])
         c.world.run(12 * DUTY.period)
         self.assertEqual(c.owners()["motor-7"], new)
@@ -192,7 +192,7 @@
         c.world.run(2 * SECOND)
         c.down = set(c.engines)
         c.world.run(2 * SECOND + 10 * DUTY.period)
-        some = c.host("m0").node
+        some = c.book(c.host("m0"))
         self.assertIsNotNone(some.verdicts.surge)
         until = some.verdicts.surge + DUTY.doubt
         early = [s for at, h, s, _ in c.probed if h == "m0" and some.verdicts.surge <= at < until]
--- a/tests/test_cluster_parts.py
+++ b/tests/test_cluster_parts.py
@@ -38,7 +38,7 @@
 
 
 def node(**duty):
-    return Node(MembershipSettings(), DutySettings(**duty) if duty else None, "a", ("127.0.0.1", 1),
+    return Node(MembershipSettings(), [DutySettings(**duty)] if duty else [], "a", ("127.0.0.1", 1),
                 Sealer("decklb", [KEY], bytes([9]) * 8), random.Random(1), 0.0, WALL)
 
 
--- a/tests/test_duties_program.py
+++ b/tests/test_duties_program.py
@@ -176,7 +176,7 @@
             program = Program({"known": known(engine.port)}, xml)
             try:
                 wait_for(lambda: any(r["up"] for r in ask(f"{folder}/s", "duties")), "a probe")
-                wait_for(lambda: ask(f"{folder}/s", "members")["health"]["duties"]["started"] > 3, "probes")
+                wait_for(lambda: ask(f"{folder}/s", "members")["health"]["duties"]["probe"]["started"] > 3, "probes")
                 self.assertEqual((engine.count, engine.said("start")), (1, []))
             finally:
                 program.stop()
