--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -770,3 +770,12 @@
             (send,) = sent(g.step(now + 1, [end(send, Outcome.FULL, rtt=1.0)]))
         g.step(now + 2, [end(send, Outcome.GOOD, leg=int(full))])
     assert 4 <= tried <= 6
+
+
+def test_word_that_an_engine_cannot_be_reached_leaves_it_out_and_lets_none_in():
+    g = gateway(engines=2)
+    g.step(1.0, [api.Probed("e0", Outcome.NOCONN, 0.0), api.Probed("unknown", Outcome.NOCONN, 0.0)])
+    assert {s.engine for s in sent(g.step(2.0, [ask(str(i)) for i in range(6)]))} == {"e1"}
+    g.step(3.0, [api.Members([entry("e0", phase=Phase.DRAINING), entry("e1")], True)])
+    actions = g.step(2000.0, [api.Probed("e0", Outcome.GOOD, 1.0), ask("late")])
+    assert "e0" not in {s.engine for s in sent(actions)}
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -95,6 +95,10 @@
 
 
 class Meaning(unittest.TestCase):
+    def test_cluster_example(self):
+        c = config.load(None, str(ROOT / "deploy/cluster.xml"))
+        assert c.cluster is not None and c.cluster.probing is not None and len(c.cluster.seeds) == 3
+
     def test_example_alone(self):
         c = config.load(None, str(ROOT / "deploy/postgres.xml"))
         assert c.postgres is not None and c.postgres.users["reportes"].budget == 20_000.0
