--- a/decklb/lab/records.py
+++ b/decklb/lab/records.py
@@ -106,7 +106,9 @@
                                   float(a.work[i]), int(a.tables[i]), kind, took, client.tries, client.attempts, worth))
 
     def attempt(self, a: Attempt, outcome: Outcome) -> None:
-        """An attempt is over."""
+        """An attempt is over; those of the warm-up don't count."""
+        if a.started < self.run.world.warm:
+            return
         self.sends += 1
         self.outcomes[outcome.value] += 1
         if self.sends % self.every == 0:
--- a/decklb/rules.py
+++ b/decklb/rules.py
@@ -176,7 +176,7 @@
         x.running -= 0 if leg.lost else r.spec.threads
         x.out.pop((e.req, e.leg), None)
         if not leg.lost:
-            x.sort(leg, leg.size).drop(leg)
+            x.unsort(leg)
         if e.outcome in (Outcome.GOOD, Outcome.LATE):
             sure = e.rtt > SURE * self._hold(r) and x.heard > leg.sent
             self.loss += EWMA * ((sure and e.outcome is Outcome.LATE) - self.loss)
@@ -516,7 +516,7 @@
             if a.lost or age < limit or a.engine.heard < last + age / 2 or not proven:
                 continue
             a.lost = True
-            a.engine.sort(a, a.size).drop(a)
+            a.engine.unsort(a)
             a.engine.running -= r.spec.threads
             if not s.duplicates:
                 self._call_off(a)
--- a/decklb/state.py
+++ b/decklb/state.py
@@ -91,6 +91,13 @@
             self.short[lane, size] = Out(a.request.usual, size, a.request.spec.threads)
         return self.short[lane, size]
 
+    def unsort(self, a: Attempt) -> None:
+        """It counts no more. What is left empty goes: counts walk over all that is here, at each step."""
+        out = self.sort(a, a.size)
+        out.drop(a)
+        if not out.sent:
+            del self.short[a.request.a.lane, a.size]
+
     def loads(self, tables: int) -> bool:
         """Whether an own load on this group is out here."""
         return any(a.request.spec.holds and a.request.a.tables == tables for a in self.out.values())
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -185,6 +185,10 @@
         self.assertEqual({k: v for k, v in s.items() if k.startswith("broken_")}, {})
         self.assertGreater(s["worth"], 0.5)
 
+    def test_a_warm_up_counts_neither_requests_nor_attempts(self):
+        s = Run(replace(world(2, 6, 40.0, 6000.0), warm=3000.0, uneven=0.0), 3).run()
+        self.assertAlmostEqual(s["attempts_a_request"], 1.0, delta=0.05)
+
     def test_impatience_and_client_retries(self):
         w = world(2, 2, 160.0, 6000.0)
         plain = Run(w, 2).run()
