--- a/decklb/lab/emulator.py
+++ b/decklb/lab/emulator.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from decklb import interface as api
 from decklb.core.dispatcher import Attempt, Dispatcher, Request
@@ -23,6 +23,9 @@
 from decklb.lab.streams import Streams
 from decklb.lab.workload import Arrivals, Workload, draw
 
+if TYPE_CHECKING:
+    from decklb.lab.probing import Probing
+
 WIND_DOWN = 2000.0  # ms after the last deadline in which all must be over
 AGAIN = 50.0  # ms after which a client asks again whose manager has gone
 
@@ -66,6 +69,7 @@
     retry_after: float = 500.0
     faults: tuple[Fault, ...] = ()
     uneven: float = 0.0  # sigma of a lognormal factor on engines' speed
+    probing: float = 0.0  # ms between probes of an engine, shared by the managers' cluster; 0 for none
     sample: int = 100_000  # requests kept in tables at the most
 
     def settings(self, me: int) -> Settings:
@@ -179,12 +183,16 @@
             return actions
 
         self.core.gateway.step = timed  # type: ignore[method-assign]
+        if run.probing is not None:
+            run.probing.start(self)
         self.hear([run.entry(e) for e in run.engines.values()], True)
 
     def kill(self) -> None:
         """Without a word; what it sent goes on running."""
         self.up = False
         self.run.checker.died(self.number)
+        if self.run.probing is not None:
+            self.run.probing.kill(self)
         clients, self.clients = list(self.clients.values()), {}
         for client in clients:
             client.lost()
@@ -195,8 +203,12 @@
             if complete:
                 self.listed.clear()
             self.listed |= {e.engine: e.phase for e in entries}
+            self.listed = {n: p for n, p in self.listed.items() if p is not Phase.REMOVED}
             self.heard = self.run.loop.now()
             self.core._post(api.Members(entries, complete))
+            if self.run.probing is not None:
+                born = ((e.name, e.born) for e in self.run.engines.values())
+                self.run.probing.listed(self, self.listed, born)
 
     def take(self, client: Client, work: Work) -> None:
         """A request."""
@@ -305,6 +317,11 @@
             engine.set_slow(float(pow(2.718281828, world.uneven * factors[i])) if world.uneven else 1.0)
             engine.on_fall = lambda name=f"e{i}": self._fell(name)  # type: ignore[misc]
         self.managers = [Manager(self, i) for i in range(world.managers)]
+        self.probing: Probing | None = None
+        if world.probing:
+            from decklb.lab.probing import Probing
+
+            self.probing = Probing(self, world.probing)
         self._next = 0
         self.late: random.Random = random.Random(self.streams.number("list"))
 
--- a/decklb/lab/experiment.py
+++ b/decklb/lab/experiment.py
@@ -35,7 +35,8 @@
 CONVERT: dict[str, Callable[[str], Any]] = {"duration": duration, "share": share, "float": float, "int": int,
                                             "bool": lambda text: text in ("true", "1"), "str": str}
 WORLD = {"managers": "int", "engines": "int", "span": "duration", "warm": "duration", "delay": "duration",
-         "loss": "share", "list-late": "duration", "list-partial": "share", "uneven": "float", "sample": "int"}
+         "loss": "share", "list-late": "duration", "list-partial": "share", "uneven": "float", "probing": "duration",
+         "sample": "int"}
 ENGINE = {"cores": "int", "sessions": "int", "disks": "float", "memory": "float", "knee": "float", "thrash": "float",
           "cold": "duration", "cold-share": "share"}
 WORKLOAD = {"rate": "float", "groups": "int", "day": "share", "day-length": "duration", "retries": "int",
--- a/decklb/lab/network.py
+++ b/decklb/lab/network.py
@@ -56,8 +56,9 @@
 class World:
     """Hosts, a network and a loop of events."""
 
-    def __init__(self, seed: int, faults: Faults | None = None) -> None:
-        self.loop = Loop()
+    def __init__(self, seed: int, faults: Faults | None = None, loop: Loop | None = None) -> None:
+        """`loop`: that of another world, to share its time."""
+        self.loop = loop or Loop()
         self.rng = random.Random(seed)
         self.faults = faults or Faults()
         self.hosts: dict[Address, Host] = {}
--- a/decklb/lab/records.py
+++ b/decklb/lab/records.py
@@ -140,6 +140,8 @@
         made["work_open"] = sum(e.partial() for e in run.engines.values())
         made["falls"] = sum(b.falls for b in books)
         made["full"] = sum(b.full for b in books)
+        if run.probing is not None:
+            made["probes_an_engine_a_period"] = run.probing.probes * w.probing / (w.engines * run.loop.now())
         made["little_l"] = self.area / run.loop.now() if run.loop.now() else 0.0
         made["little_lw"] = self.stay / run.loop.now() if run.loop.now() else 0.0
         for rule, n in sorted(run.checker.faults.items()):
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -189,6 +189,16 @@
         s = Run(replace(world(2, 6, 40.0, 6000.0), warm=3000.0, uneven=0.0), 3).run()
         self.assertAlmostEqual(s["attempts_a_request"], 1.0, delta=0.05)
 
+    def test_shared_probing_finds_engines_that_vanish(self):
+        w = replace(world(4, 10, 120.0, 24_000.0), faults=(Fault(9000.0, "vanish", 14_000.0, count=3),
+                                                           Fault(12_000.0, "manager", 3000.0, count=1)),
+                    list_late=60_000.0)  # the list says nothing of it in time
+        blind, sighted = Run(w, 2).run(), Run(replace(w, probing=2000.0), 2).run()
+        self.assertEqual((blind["broken"], sighted["broken"]), (0, 0))
+        self.assertAlmostEqual(sighted["probes_an_engine_a_period"], 1.0, delta=0.25)
+        self.assertNotIn("probes_an_engine_a_period", blind)
+        self.assertGreaterEqual(sighted["worth"], blind["worth"])
+
     def test_impatience_and_client_retries(self):
         w = world(2, 2, 160.0, 6000.0)
         plain = Run(w, 2).run()
