Let moments pass late in a long emulated run: virtual time begins anew when an engine is idle

Cause: lab theory at 120,000 arrivals hung. At 4e7 ms the clock moves by 7e-9 and virtual time by 4e-9; what was left of a query was less than that and more than the fixed 1e-9, so its end came again and again at one moment. Change: the least step follows the clocks; virtual time begins anew when nothing runs. Test at 4e7 ms hangs without it.

--- a/decklb/lab/engine.py
+++ b/decklb/lab/engine.py
@@ -18,6 +18,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from heapq import heapify, heappop, heappush
+from math import ulp
 
 from decklb.interface import Outcome
 from decklb.lab.events import Call, Loop
@@ -145,13 +146,17 @@
         self._next = None
         self._advance()
         over = []
-        # What rounding leaves of a query is less than a nanosecond of work.
-        while self._heap and (self._heap[0][0] <= self._virtual + 1e-9 or self._heap[0][2].state != "running"):
+        # What rounding leaves of a query is less than a nanosecond of work, or too little for the clock to move by:
+        # after some hours of a run its steps are larger than that, and the same moment would come for ever.
+        least = 2 * max(ulp(self._virtual), ulp(self._at) * self._speed)
+        end = self._virtual + max(1e-9, least)
+        while self._heap and (self._heap[0][0] <= end or self._heap[0][2].state != "running"):
             query = heappop(self._heap)[2]
             if query.state == "running":
-                self._leave(query)
-                self.book.served += query.total
                 over.append(query)
+        for query in over:  # only now: when the last one leaves, virtual time begins anew
+            self.book.served += query.total
+            self._leave(query)
         self._arm()
         for query in over:
             query.done(Outcome.GOOD)
@@ -213,8 +218,9 @@
         self.threads -= query.threads
         self.reading -= query.io * query.threads
         self.memory -= query.memory
-        if not self.running:  # sums of floats drift; an idle engine has none
-            self.reading = self.memory = 0.0
+        if not self.running:  # sums of floats drift; an idle engine has none, and its virtual time begins anew
+            self.reading = self.memory = self._virtual = 0.0
+            self._heap.clear()
         if query.holds:
             self.held[query.tables] -= 1
             if not self.held[query.tables]:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -99,6 +99,17 @@
         self.loop.run(500.0)
         self.assertEqual((self.ended, e.book.lost, e.book.burnt), ([], 40.0, 40.0))
 
+    def test_late_in_a_long_run_moments_still_pass(self):
+        """At 40,000,000 ms the clock moves by 7e-9: what was left of a query was less, and its end came for ever."""
+        self.loop.run(4e7)
+        e = self.engine()
+        for i in range(200):
+            e.submit(self.query(i, 10.0 + i / 7, threads=1 + i % 3))
+            self.loop.run(self.loop.now() + 1 / 3)
+        self.loop.run(self.loop.now() + 1e5)
+        self.assertEqual(len(self.ended), 200)
+        self.assertLess(abs(e.book.served / e.book.burnt - 1), 1e-9)
+
     def test_deaths_loud_and_silent(self):
         e = self.engine()
         e.submit(self.query("a", 100.0))
