Refuse a wildcard as a member's address

Cause: members are told the address that <cluster bind> names; with 0.0.0.0 others would send to themselves, and each would own all duties without a word of why. Change: a fault with its line at load.

--- a/decklb/config/operators.py
+++ b/decklb/config/operators.py
@@ -27,6 +27,7 @@
     return text in ("true", "1")
 
 
+WILDCARDS = ("0.0.0.0", "::", "*")
 SECTIONS = ("postgres", "bgp")  # of the raw form, each checked by its own part
 CLASS: dict[str, tuple[str, Convert]] = {
     "name": ("name", str), "aim": ("aim", duration), "deadline": ("deadline", duration),
@@ -256,6 +257,8 @@
         duty = None if probing is None else self.check(probing, lambda: DutySettings(**_taken(probing, PROBING)))
         membership = self.check(element, lambda: MembershipSettings(**_taken(element, MEMBERSHIP)))
         bind = self.check(element, lambda: address(element.attrib["bind"]))
+        if bind is not None and bind[0] in WILDCARDS:  # members are told this address, and would send to themselves
+            self.fault(element, f"<cluster>: others can't reach {bind[0]}; the address of one interface would be right")
         seeds = tuple(self._seeds(element))
         if membership is None or bind is None:
             return None
