Let one piece serve where the change wrote it twice: phases, rare questions, faults, an option

Need: a read of the whole change found twins. Change: duties.phase, membership.Rarely, Translation.settle, one option, a cached bucket; the counter goes. Behaviour unchanged.

--- a/decklb/cli/running.py
+++ b/decklb/cli/running.py
@@ -7,9 +7,9 @@
 import click
 
 from decklb import config as configuration
+from decklb.cli.serve import SETTINGS
 
 SOCKET = click.option("--socket", help="The instance's control socket; the settings name it otherwise.")
-SETTINGS = click.option("--settings", help="Operators' settings in XML; DECKLB_SETTINGS names them otherwise.")
 JSON = click.option("--json", "as_json", is_flag=True, help="As JSON, for programs.")
 
 
--- a/decklb/cluster/duties.py
+++ b/decklb/cluster/duties.py
@@ -25,6 +25,11 @@
 MOST_REST = 8.0  # times the first rest
 
 
+def phase(kind: str, subject: str) -> float:
+    """When in its period a duty is due, from 0 to 1, whoever owns it."""
+    return xxhash.xxh32_intdigest(f"{kind}/{subject}".encode()) / 4294967296.0
+
+
 @dataclass(frozen=True, slots=True)
 class Start:
     """Run this duty now."""
@@ -130,8 +135,7 @@
     def _gain(self, now: float, subject: str, term: int, prompt: bool, handed: bool) -> None:
         duty = self.duties.get(subject)
         if duty is None:
-            phase = xxhash.xxh32_intdigest(f"{self.s.kind}/{subject}".encode()) / 4294967296.0
-            duty = self.duties[subject] = Duty(subject, phase)
+            duty = self.duties[subject] = Duty(subject, phase(self.s.kind, subject))
         duty.owned, duty.term, duty.failures, duty.handed = True, term, 0, handed
         duty.told = -math.inf
         self.counters.gained += 1
--- a/decklb/cluster/membership.py
+++ b/decklb/cluster/membership.py
@@ -8,9 +8,11 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable, Hashable, Iterable
 from dataclasses import dataclass
+from functools import lru_cache
 
 import xxhash
 
@@ -44,7 +46,7 @@
 BUCKETS = 64  # of the sums that members compare
 MOST_DOUBTS = 32  # members asked to refute after one exchange
 RIVAL = 3  # words of another run under our own name after which it must be alive
-MOST_NUDGED = 4096  # senders remembered as asked of late
+MOST_ASKED = 4096  # members remembered as asked of late
 YIELD = 60_000.0  # ms that an instance whose name is taken waits before it tries again
 LATE = 2.0  # intervals by which a timer may be late before this instance takes itself for held up
 
@@ -108,6 +110,24 @@
         return rng.sample(self.items, min(count, len(self.items)))
 
 
+class Rarely:
+    """Lets something be done for each name once in a while; what it remembers is bounded."""
+
+    def __init__(self, every: float) -> None:
+        self.every = every  # ms
+        self._last: dict[str, float] = {}
+
+    def allows(self, name: str, now: float) -> bool:
+        """True if it is time again, and then it counts as done."""
+        if now - self._last.get(name, -math.inf) < self.every:
+            return False
+        if len(self._last) > MOST_ASKED:
+            self._last.clear()
+        self._last[name] = now
+        return True
+
+
+@lru_cache(maxsize=1 << 16)  # asked for every member at each exchange
 def _bucket(name: str) -> int:
     return xxhash.xxh32_intdigest(name.encode()) % BUCKETS
 
@@ -141,7 +161,6 @@
     refuted: int = 0
     held_up: int = 0
     conflicts: int = 0
-    exchanges: int = 0
 
 
 class Membership:
@@ -165,8 +184,7 @@
         self._n = 0
         self._rivals: dict[int, int] = {}
         self._gossiping = False
-        self._doubted: dict[str, float] = {}
-        self._nudged: dict[str, float] = {}
+        self._doubted, self._nudged = Rarely(settings.interval), Rarely(settings.interval)
         self.now = now  # when this instance last ran; set by whoever drives it
         self._sum(self.me)
 
@@ -389,11 +407,8 @@
         """What to ask of a sender that is not as we hold it to be; rarely, since its answer may say no more."""
         if known is not None and known.boot == boot and known.state not in (DEAD, SUSPECT):
             return []
-        if now - self._nudged.get(sender, -1e12) < self.s.interval:
+        if not self._nudged.allows(sender, now):
             return []
-        if len(self._nudged) > MOST_NUDGED:
-            self._nudged.clear()
-        self._nudged[sender] = now
         if known is None:
             return [pack(Want(bytes([_bucket(sender)])))]
         if known.boot != boot:  # another run, perhaps with a clock behind that of the one we know: it must outdo it
@@ -579,19 +594,15 @@
         if names:
             at = self.rng.randrange(names)
             name = self.live.items[at] if at < len(self.live) else self.gone.items[at - len(self.live)]
-            self._exchange_with(self.members[name].address)
+            self.post(self.members[name].address, [self._digest()], True)
         missing = self._missing_seeds()
         if missing:
-            self._exchange_with(self.rng.choice(missing))
+            self.post(self.rng.choice(missing), [self._digest()], True)
 
     def _missing_seeds(self) -> list[Address]:
         alive = {self.members[n].address for n in self.live.items}
         return [a for a in self.seeds if a not in alive]
 
-    def _exchange_with(self, address: Address) -> None:
-        self.counters.exchanges += 1
-        self.post(address, [self._digest()], True)
-
     def _on_digest(self, now: float, address: Address, m: Digest) -> None:
         theirs = [int.from_bytes(m.sums[i : i + 4], "big") for i in range(0, 4 * BUCKETS, 4)]
         differ = bytes(i for i in range(BUCKETS) if theirs[i] != self.sums[i])
@@ -626,8 +637,7 @@
                 # Another side's word that it is dead proves nothing here: it is asked to refute, and probed as ever.
                 doubts.append(known)
         for known in self.rng.sample(doubts, min(MOST_DOUBTS, len(doubts))):
-            if now - self._doubted.get(known.name, -1e12) > self.s.interval:
-                self._doubted[known.name] = now
+            if self._doubted.allows(known.name, now):
                 self.post(known.address, [pack(Suspect(known.name, known.life, self.me.name))], False)
         if not self.synced:  # ask once more whether that was all
             self.post(address, [self._digest()], True)
@@ -638,5 +648,4 @@
         for m in [m for m in self.members.values() if m.state in (DEAD, LEFT) and now - m.changed > self.s.lately]:
             self.sums[_bucket(m.name)] ^= m.sum
             self.gone.discard(m.name)
-            self._doubted.pop(m.name, None)
             del self.members[m.name]
--- a/decklb/config/operators.py
+++ b/decklb/config/operators.py
@@ -62,23 +62,20 @@
     root = read(path)
     book = Translation(path, root)
     raw = book.over(raw)
-    if book.faults:
-        raise SettingsError(sorted(set(book.faults)))
+    book.settle()
     if "settings" not in raw:
         raise SettingsError([Fault(path, 0, "no classes: give <classes>, or the platform's configuration too")])
     for section in SECTIONS:  # one at a time, so that a fault can be laid at its element
         element = root.find(section)
         if element is not None:
             book.check(element, partial(from_raw, raw | {x: None for x in SECTIONS if x != section}))
-    if book.faults:
-        raise SettingsError(sorted(set(book.faults)))
+    book.settle()
     try:
         config = from_raw(raw)
     except ConfigError as error:
         raise SettingsError([Fault(path, 0, str(error))]) from error
     config.cluster, config.control = book.cluster(config.name), book.control()
-    if book.faults:  # found only now
-        raise SettingsError(sorted(set(book.faults)))
+    book.settle()
     return config
 
 
@@ -93,6 +90,11 @@
         """Note one at an element's line."""
         self.faults.append(Fault(self.path, element.sourceline or 0, text))
 
+    def settle(self) -> None:
+        """Raise SettingsError with what has been found so far, if anything."""
+        if self.faults:
+            raise SettingsError(sorted(set(self.faults)))
+
     def check(self, element: etree._Element, make: Callable[[], Any]) -> Any:
         """What `make` returns, or a fault at that element."""
         try:
--- a/decklb/lab/cluster.py
+++ b/decklb/lab/cluster.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from decklb.cluster.duties import Duties, Start
+from decklb.cluster.duties import Duties, Start, phase
 from decklb.cluster.messages import ALIVE, DEAD, Row
 from decklb.cluster.node import Node
 from decklb.cluster.ownership import Ranking
@@ -183,10 +183,7 @@
 
     def phase(self, subject: str) -> float:
         """Of its period, in ms, at which a duty is due on the world's clock."""
-        import xxhash
-
-        part = xxhash.xxh32_intdigest(f"{self.duty.kind}/{subject}".encode()) / 4294967296.0
-        return (part * self.duty.period - EPOCH) % self.duty.period
+        return (phase(self.duty.kind, subject) * self.duty.period - EPOCH) % self.duty.period
 
     def counts(self, start: float, end: float) -> dict[str, list[int]]:
         """Runs of each duty in each whole period between two moments, periods being cut half a period from its
