--- /dev/null
+++ b/decklb/handoff/takeover.py
@@ -0,0 +1,59 @@
+"""What a new holder does with a request it took over, and who claims it (free of I/O).
+
+Never a guess: a request is sent again only where it is proven not to have run (never sent, or FULL), or where its class
+lets it be repeated; otherwise it ends as failed, in doubt. A request past its deadline ends as failed at once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass
+from enum import Enum
+
+from decklb.handoff.records import Outcome, Record, Stage
+from decklb.handoff.settings import HandoffSettings
+from decklb.interface import Effect
+
+
+class Step(Enum):
+    SEND = "send"  # send it to an engine, as a new attempt
+    SEND_KEYED = "send-keyed"  # send it again under its own key, which the engine deduplicates
+    HOLD = "hold"  # its answer is here: give it to the client that comes back
+    KEEP = "keep"  # delivered already: keep the outcome till it lingers out
+    FAIL = "fail"  # end it as failed, and hold that for the client
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    step: Step
+    record: Record
+    reason: str  # a stable code for the log
+
+
+def decide(record: Record, now: float, settings: HandoffSettings) -> Decision:
+    """What the holder of a record taken over does with it."""
+    if record.stage is Stage.DELIVERED:
+        return Decision(Step.KEEP, record, "delivered")
+    if record.stage is Stage.ANSWERED:
+        return Decision(Step.HOLD, record, "answered")
+    if now > record.deadline:
+        return Decision(Step.FAIL, record.ended(Outcome.FAILED, "deadline"), "deadline")
+    if record.stage is Stage.QUEUED:
+        return Decision(Step.SEND, record, "never-ran")
+    if record.effect is Effect.SAFE:
+        return Decision(Step.SEND, record, "repeatable")
+    if record.effect is Effect.KEYED:
+        return Decision(Step.SEND_KEYED, record, "deduplicated")
+    return Decision(Step.FAIL, record.ended(Outcome.FAILED, "in-doubt"), "in-doubt")
+
+
+def claimer(record: Record, alive: Collection[str]) -> str | None:
+    """Of the voters alive in this view, the first claims; the others grant; None while the owner is."""
+    if record.owner in alive:
+        return None
+    return next((v for v in record.voters if v in alive), None)
+
+
+def lapsed(record: Record, now: float, settings: HandoffSettings) -> bool:
+    """Past its deadline, the slack and the lingering: nobody needs it."""
+    return now > record.deadline + settings.slack + settings.linger
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -8,8 +8,9 @@
 from tests.standins import ROOT
 
 OFF = ("lxml", "msgspec", "cryptography", "xxhash", "numpy", "pyarrow", "matplotlib", "simpy", "rich", "hdrh",
-       "decklb.cluster", "decklb.lab", "decklb.pg", "decklb.bgp", "decklb.middleware", "decklb.daemon.control",
-       "decklb.config.xml", "decklb.config.operators", "decklb.wire.prober", "decklb.net.prober")
+       "decklb.cluster", "decklb.handoff", "decklb.lab", "decklb.pg", "decklb.bgp", "decklb.middleware",
+       "decklb.daemon.control", "decklb.config.xml", "decklb.config.operators", "decklb.wire.prober",
+       "decklb.net.prober")
 CODE = """
 import sys
 from tests.standins import SETTINGS, known
