--- a/decklb/cluster/runtime.py
+++ b/decklb/cluster/runtime.py
@@ -41,7 +41,7 @@
         self.closed = False
         self.pumping = False
         self.node = Node(settings.membership, [settings.probing] if settings.probing else [], settings.member,
-                         settings.bind, self._sealer(), random.Random(os.urandom(16)), clock.now(), wall())
+                         settings.told, self._sealer(), random.Random(os.urandom(16)), clock.now(), wall())
 
     def _sealer(self) -> Sealer:
         keys = keyfile.read(self.settings.keys)
@@ -54,9 +54,9 @@
 
     def startProtocol(self) -> None:
         """The socket is open."""
-        logger.info("cluster member {member} on {address}, {seeds} seeds", event="cluster-listening",
+        logger.info("cluster member {member} on {address}, told as {told}, {seeds} seeds", event="cluster-listening",
                     member=self.settings.member, address="{}:{}".format(*self.settings.bind),
-                    seeds=len(self.settings.seeds))
+                    told="{}:{}".format(*self.settings.told), seeds=len(self.settings.seeds))
         self.node.start(self.clock.now(), self.settings.seeds)
         self._pump()
 
--- a/decklb/cluster/settings.py
+++ b/decklb/cluster/settings.py
@@ -76,3 +76,9 @@
     seeds: tuple[tuple[str, int], ...] = ()
     membership: MembershipSettings = field(default_factory=MembershipSettings)
     probing: DutySettings | None = None
+    advertise: tuple[str, int] | None = None  # the address others are told, where something stands between
+
+    @property
+    def told(self) -> tuple[str, int]:
+        """Where others send to this member."""
+        return self.advertise or self.bind
--- a/decklb/config/operators.py
+++ b/decklb/config/operators.py
@@ -261,11 +261,16 @@
         bind = self.check(element, lambda: address(element.attrib["bind"]))
         if bind is not None and bind[0] in WILDCARDS:  # members are told this address, and would send to themselves
             self.fault(element, f"<cluster>: others can't reach {bind[0]}; the address of one interface would be right")
+        advertise = None
+        if "advertise" in element.attrib:
+            advertise = self.check(element, lambda: address(element.attrib["advertise"]))
+            if advertise is not None and advertise[0] in WILDCARDS:
+                self.fault(element, f"<cluster>: advertise {advertise[0]} can't be reached; one interface's address")
         seeds = tuple(self._seeds(element))
         if membership is None or bind is None:
             return None
         return ClusterSettings(element.get("member", name), bind, self._path(element.attrib["keys"]), seeds,
-                               membership, duty)
+                               membership, duty, advertise)
 
     def _seeds(self, element: etree._Element) -> Iterator[tuple[str, int]]:
         for seed in element.findall("seed"):
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -46,6 +46,7 @@
     ('<probing period="1s"/>', 5, "needs a <cluster>"),
     ('<cluster name="k" bind="127.0.0.1:7" keys="k" timeout="9s"/>', 5, "timeout must be above 0 and below interval"),
     ('<cluster name="k" bind="0.0.0.0:7" keys="k"/>', 5, "others can't reach 0.0.0.0"),
+    ('<cluster name="k" bind="127.0.0.1:7" advertise="0.0.0.0:8" keys="k"/>', 5, "advertise 0.0.0.0 can't be reached"),
     ('<cluster name="k" bind="127.0.0.1:7"/>', 5, "'keys' is required"),
     (CLUSTER + '<probing cold-factor="0.5"/>', 6, "at least 1"),
     ('<cluster name="k" bind="127.0.0.1:7" keys="k"><seed>nowhere</seed></cluster>', 5, "HOST:PORT"),
