Let the module's windows of taken requests forget what the ration no longer asks of

`Window` was trimmed only in `since`, called where a further attempt is weighed; where none is, or extra_ratio is None, it kept the time of every request taken. Dispatcher and state lines shrank between thirds: ruled out.

--- a/decklb/rules.py
+++ b/decklb/rules.py
@@ -59,7 +59,8 @@
         self.tenants = {n: Tenant(t, t.share) for n, t in specs.items()}
         # Before the first answers half the aim is the guess: on the high side, so a cold engine is safe.
         self.usual = {n: Usual.guess(c.aim / 2, c.threads) for n, c in settings.classes.items()}
-        self.taken, self.extra = Window(), Window()  # requests taken, attempts beyond a request's first
+        span = settings.extra_window + 2 * settings.tick  # what the ration asks of, a tick to the safe side
+        self.taken, self.extra = Window(span), Window(span)  # requests taken; attempts beyond the first
         self.heard: dict[int, tuple[float, list[float]]] = {}
         self.part, self.parts = 1.0 / settings.fronts, [1.0 / settings.fronts] * len(self.tenants)
         self.stress, self.room, self.base = 1.0, CAPPED, 1.0  # base: own part of the bound, in threads
@@ -128,7 +129,7 @@
         spec = self.s.classes.get(a.lane)
         if a.req in self.requests:
             return
-        self.taken.append(self.now)
+        self.taken.add(self.now)
         if spec is None:
             return self.actions.append(api.Fail(a.req))
         if a.tenant not in self.tenants:
@@ -500,7 +501,7 @@
         r.tenant.pull(r)
         c, u, s = r.spec, r.usual, self.s
         if r.legs:
-            self.extra.append(self.now)
+            self.extra.add(self.now)
         memory, rank, wait = 0.0, 1, max(s.tick, r.a.time_left - (self.now - r.arrived))
         if s.grants and len(u.need) >= TRUST:
             memory = u.need[int(QUANTILE * len(u.need))] * (r.a.need or 1.0) ** SHRINK
--- a/decklb/state.py
+++ b/decklb/state.py
@@ -253,7 +253,17 @@
 
 
 class Window(deque[float]):
-    """Times, oldest first."""
+    """Times, oldest first. Those older than `span` before the newest are forgotten as new ones come, so that a window
+    nobody asks of for long does not grow with every request."""
+
+    def __init__(self, span: float) -> None:
+        super().__init__()
+        self.span = span
+
+    def add(self, now: float) -> None:
+        self.append(now)
+        while self[0] < now - self.span:
+            self.popleft()
 
     def since(self, start: float) -> int:
         """How many at or after `start`; what is older is forgotten."""
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,33 @@
+"""A long emulated day: what the real dispatcher and decision module hold stays flat after the first third."""
+
+import gc
+import tracemalloc
+
+from decklb.lab.emulator import Run
+from decklb.lab.shipped import world
+
+SPAN = 120_000.0  # ms
+PROGRAM = ["*/decklb/core/*", "*/decklb/rules.py", "*/decklb/state.py", "*/decklb/interface.py"]
+
+
+def held() -> int:
+    """Bytes alive that the program's own code allocated; the laboratory's records of the day are left out."""
+    gc.collect()
+    snapshot = tracemalloc.take_snapshot().filter_traces([tracemalloc.Filter(True, p) for p in PROGRAM])
+    return sum(stat.size for stat in snapshot.statistics("filename"))
+
+
+def test_what_the_program_holds_does_not_grow_with_the_requests_it_has_answered():
+    run = Run(world(1, 8, 150.0, SPAN), 5)
+    sizes: list[int] = []
+    for third in (1, 2, 3):
+        run.loop.call_later(SPAN * third / 3, lambda: sizes.append(held()))
+    tracemalloc.start()
+    try:
+        run.run()
+    finally:
+        tracemalloc.stop()
+    assert len(sizes) == 3
+    # 6,000 requests come in each third. The window of requests taken, trimmed only where a further attempt was weighed,
+    # kept the time of each: 336,778 -> 427,240 bytes from the first third to the end; since, about 15 KiB either way.
+    assert sizes[2] - sizes[0] < 40 * 1024, sizes
