--- a/decklb/config/operators.py
+++ b/decklb/config/operators.py
@@ -258,20 +258,22 @@
             return None
         duty = None if probing is None else self.check(probing, lambda: DutySettings(**_taken(probing, PROBING)))
         membership = self.check(element, lambda: MembershipSettings(**_taken(element, MEMBERSHIP)))
-        bind = self.check(element, lambda: address(element.attrib["bind"]))
-        if bind is not None and bind[0] in WILDCARDS:  # members are told this address, and would send to themselves
-            self.fault(element, f"<cluster>: others can't reach {bind[0]}; the address of one interface would be right")
-        advertise = None
-        if "advertise" in element.attrib:
-            advertise = self.check(element, lambda: address(element.attrib["advertise"]))
-            if advertise is not None and advertise[0] in WILDCARDS:
-                self.fault(element, f"<cluster>: advertise {advertise[0]} can't be reached; one interface's address")
+        bind = self._told(element, "bind")
+        advertise = self._told(element, "advertise") if "advertise" in element.attrib else None
         seeds = tuple(self._seeds(element))
         if membership is None or bind is None:
             return None
         return ClusterSettings(element.get("member", name), bind, self._path(element.attrib["keys"]), seeds,
                                membership, duty, advertise)
 
+    def _told(self, element: etree._Element, attribute: str) -> tuple[str, int] | None:
+        """An address of `<cluster>` that members may be told; a wildcard would make them send to themselves."""
+        found: tuple[str, int] | None = self.check(element, lambda: address(element.attrib[attribute]))
+        if found is not None and found[0] in WILDCARDS:
+            self.fault(element, f"<cluster> {attribute}: others can't reach {found[0]}; the address of one interface "
+                                "would be right")
+        return found
+
     def _seeds(self, element: etree._Element) -> Iterator[tuple[str, int]]:
         for seed in element.findall("seed"):
             found = self.check(seed, partial(address, seed.text or ""))
--- a/decklb/handoff/fencing.py
+++ b/decklb/handoff/fencing.py
@@ -14,7 +14,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from decklb.handoff.records import Record
@@ -49,10 +48,6 @@
         fresh = sum(1 for v in record.voters if v == self.me or now - heard.get(v, -float("inf")) < lease)
         return fresh >= quorum_of(record, self.settings)
 
-    def forget(self, members: Iterable[str]) -> None:
-        for member in members:
-            self._heard.pop(member, None)
-
 
 class Promises:
     """A voter's side: the highest ballot granted for each key."""
@@ -79,9 +74,6 @@
     def drop(self, key: str) -> None:
         self._granted.pop(key, None)
 
-    def __len__(self) -> int:
-        return len(self._granted)
-
 
 @dataclass(slots=True)
 class Claim:
--- a/decklb/handoff/table.py
+++ b/decklb/handoff/table.py
@@ -96,10 +96,6 @@
             return Lookup(outcome=held.outcome, answer=held.answer)
         return Lookup(owner=held.owner)
 
-    def of(self, owner: str) -> list[Record]:
-        """The records held for one owner."""
-        return [r for r in self._records.values() if r.owner == owner]
-
     def expire(self, now: float) -> int:
         """Drops what has lingered out; how many."""
         dropped = 0
--- a/decklb/lab/rig.py
+++ b/decklb/lab/rig.py
@@ -40,7 +40,7 @@
         self.told: dict[str, Address] = {}
         self._ingress: dict[str, _Socket] = {}
         self._pairs: dict[tuple[str, str], _Socket] = {}
-        self.passed = self.lost = 0
+        self.lost = 0  # datagrams lost by a link's fault
 
     async def open(self, host: str = "127.0.0.1") -> None:
         for name in self.binds:
@@ -90,7 +90,6 @@
         loop = asyncio.get_running_loop()
         target = self.binds[receiver]
         for delay in delays:
-            self.passed += 1
             if delay <= 0:
                 out.transport.sendto(data, target)
             else:
--- a/decklb/state.py
+++ b/decklb/state.py
@@ -262,8 +262,7 @@
 
     def add(self, now: float) -> None:
         self.append(now)
-        while self[0] < now - self.span:
-            self.popleft()
+        self.since(now - self.span)
 
     def since(self, start: float) -> int:
         """How many at or after `start`; what is older is forgotten."""
