--- a/decklb/lab/faults.py
+++ b/decklb/lab/faults.py
@@ -51,7 +51,11 @@
     other: str = ""  # the far end of a link
 
 
-def schedule(seed: int, members: list[str], span: float, count: int) -> list[Fault]:
+STRIKES = (Kind.CUT, Kind.PARTITION, Kind.LOSSY, Kind.KILL, Kind.STOP)
+
+
+def schedule(seed: int, members: list[str], span: float, count: int,
+             kinds: tuple[Kind, ...] = STRIKES) -> list[Fault]:
     """`count` faults at random moments within `span`, each healed or undone before the next one strikes, so that the
     run ends with every member up and every link clean."""
     rng = random.Random(seed)
@@ -63,7 +67,7 @@
         start = i * slot + rng.uniform(0, slot / 3)
         end = start + rng.uniform(slot / 4, slot / 2)
         a, b = rng.sample(members, 2)
-        kind = rng.choice([Kind.CUT, Kind.PARTITION, Kind.LOSSY, Kind.KILL, Kind.STOP])
+        kind = rng.choice(kinds)
         faults.append(Fault(start, kind, a, b if kind in (Kind.CUT, Kind.LOSSY) else ""))
         undo = {Kind.KILL: Kind.RESTART, Kind.STOP: Kind.CONT}.get(kind, Kind.HEAL)
         faults.append(Fault(end, undo, a))
--- a/tests/test_rig_program.py
+++ b/tests/test_rig_program.py
@@ -10,7 +10,7 @@
 from decklb.cluster import keyfile
 from decklb.daemon.control import ask
 from decklb.lab.faults import Link
-from decklb.lab.rig import UdpRig
+from decklb.lab.rig import Rig
 from tests.standins import Loop, Program, known, wait_for
 from tests.test_duties_program import free_udp_ports
 
@@ -24,7 +24,7 @@
         self.addCleanup(self.loop.stop)
         self.folder = Path(folder.name)
         binds = dict(zip(NAMES, [("127.0.0.1", p) for p in free_udp_ports(3)], strict=True))
-        self.rig = UdpRig(binds, seed=7)
+        self.rig = Rig(binds, seed=7)
         self.loop.run(self.rig.open())
         self.addCleanup(lambda: self.act(self.rig.close))
         keys = str(self.folder / "keys.json")
