--- a/decklb/cli/lab.py
+++ b/decklb/cli/lab.py
@@ -171,6 +171,57 @@
     reactor.run()
 
 
+@lab.command()
+@click.option("--managers", default=3, show_default=True, type=click.IntRange(3, 9))
+@click.option("--engines", "count", default=3, show_default=True, type=click.IntRange(1, 9))
+@click.option("--runs", default=4, show_default=True, type=click.IntRange(1, 1000), help="Seeds, from --seed on.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--fleets", default=1, show_default=True, type=click.IntRange(1, 16), help="Fleets side by side.")
+@click.option("--rate", default=25.0, show_default=True, type=click.FloatRange(0.1, 200), help="Requests a second.")
+@click.option("--seconds", default=5.0, show_default=True, type=click.FloatRange(1, 60), help="Length of a run.")
+@click.option("--faults", "strikes", default=1, show_default=True, type=click.IntRange(0, 20), help="In each run.")
+@click.option("--only", multiple=True, type=click.Choice(["kill", "stop", "partition", "cut", "lossy"]),
+              help="Kinds of faults; all by default.")
+@click.option("--json", "as_json", is_flag=True, help="One JSON object: the sum, and each run that was not clean.")
+def faults(managers: int, count: int, runs: int, seed: int, fleets: int, rate: float, seconds: float, strikes: int,
+           only: tuple[str, ...], as_json: bool) -> None:
+    """Managers as processes that take over one another's work, under faults by seed; loopback only, ends by itself."""
+    import asyncio
+
+    import ujson
+
+    from decklb.lab import outage
+    from decklb.lab.faults import Fault, Kind
+    from decklb.lab.verdict import Verdict, total
+
+    log.set_up("ERROR", "text")
+    setup = outage.Setup(managers, count, rate, 1000.0 * seconds, strikes,
+                         kinds=tuple(Kind(x) for x in only) or outage.KINDS)
+    unclean: list[dict[str, Any]] = []
+
+    def told(number: int, v: Verdict, struck: list[Fault]) -> None:
+        if not v.clean:
+            unclean.append({"seed": number, "faults": outage.described(struck), "lost": v.lost, "doubled": v.doubled,
+                            "repeated": v.repeated, "overlapping": v.overlapping})
+        if not as_json:
+            kinds = ",".join(f.kind.value for f in struck[::2])
+            click.echo(f"seed {number:5} {kinds:12} {v.requests} requests, {v.came_back} came back, "
+                       f"{'clean' if v.clean else unclean[-1]}")
+
+    try:
+        verdicts, counts = asyncio.run(outage.campaign(setup, list(range(seed, seed + runs)), fleets, told))
+    except (OSError, RuntimeError) as error:
+        raise click.ClickException(str(error)) from error
+    found = total(verdicts) | {"log": counts}
+    if as_json:
+        click.echo(ujson.dumps(found | {"managers": managers, "unclean": unclean}))
+    else:
+        for name, value in found.items():
+            click.echo(f"{name:14} {value}")
+    if unclean:
+        raise SystemExit(1)
+
+
 @lab.command()
 @click.argument("path")
 @click.option("--target", "where", required=True, help="HOST:PORT on loopback.")
--- a/decklb/cli/serve.py
+++ b/decklb/cli/serve.py
@@ -58,6 +58,9 @@
         if (d := k.probing) is not None:
             click.echo(f"probing: each engine each {d.period:g}ms, {d.timeout:g}ms for an answer, {d.most} at a time, "
                        f"handed on after {d.hand_on} failures")
+    if (h := c.handoff) is not None:
+        click.echo(f"handoff: {h.copies} voters a key among {h.members} members, a lease of {h.lease:g}ms, budgets "
+                   f"up to {h.longest:g}ms; records live {h.life:.0f}ms at most")
     if c.control:
         click.echo(f"control: {c.control}")
 
--- a/decklb/cluster/sealing.py
+++ b/decklb/cluster/sealing.py
@@ -28,7 +28,8 @@
 class Sealer:
     """The first key seals, all open."""
 
-    def __init__(self, cluster: str, keys: list[bytes], salt: bytes) -> None:
+    def __init__(self, cluster: str, keys: list[bytes], salt: bytes, most: int = MOST) -> None:
+        """`most`: bytes of what is sealed, seal included; datagrams' by default."""
         if not keys or any(len(k) != KEY_BYTES for k in keys):
             raise ValueError(f"a ring has at least one key, each of {KEY_BYTES} bytes")
         if len(salt) != SALT_BYTES:
@@ -36,7 +37,7 @@
         self._bound = cluster.encode()
         self._first = key_id(keys[0])
         self._ciphers = {key_id(k): AESGCM(k) for k in keys}
-        self._salt, self._count = salt, 0
+        self._salt, self._count, self._most = salt, 0, most
 
     def seal(self, plain: bytes) -> bytes:
         """Raises OverflowError after 2^32 datagrams: the ring is to be loaded anew, with another salt."""
@@ -54,7 +55,7 @@
 
     def open(self, data: bytes) -> bytes:
         """What was sealed. Raises WireError with the reason `size`, `version`, `key` or `seal`."""
-        if not SEAL < len(data) <= MOST:
+        if not SEAL < len(data) <= self._most:
             raise WireError("size", f"{len(data)} bytes")
         if data[0] != VERSION:
             raise WireError("version", f"{data[0]}")
--- a/decklb/config/operators.py
+++ b/decklb/config/operators.py
@@ -16,8 +16,9 @@
 from decklb.cluster.settings import ClusterSettings, DutySettings, MembershipSettings
 from decklb.config.errors import ConfigError, Fault, SettingsError
 from decklb.config.platform import Config, address, from_raw
-from decklb.config.units import duration, share, size
+from decklb.config.units import duration, share, size, written
 from decklb.config.xml import read
+from decklb.handoff.settings import HandoffSettings
 
 Json = dict[str, Any]
 Convert = Callable[[str], Any]
@@ -52,6 +53,14 @@
     "refresh": ("refresh", duration), "doubt": ("doubt", duration), "doubt-share": ("doubt_share", share)}
 
 
+HANDOFF: dict[str, tuple[str, Convert]] = {
+    "copies": ("copies", int), "members": ("members", int), "patience": ("patience", duration),
+    "beat": ("beat", duration), "resend": ("resend", duration), "stagger": ("stagger", duration),
+    "longest": ("longest", duration), "room": ("room", size), "capacity": ("capacity", int),
+    "answer-bytes": ("answer_bytes", size), "lease": ("lease", duration), "drift": ("drift", share),
+    "linger": ("linger", duration), "slack": ("slack", duration)}
+
+
 def _taken(element: etree._Element, names: dict[str, tuple[str, Convert]]) -> Json:
     """The attributes that are given, renamed and converted."""
     return {names[k][0]: names[k][1](v) for k, v in element.attrib.items() if k in names}
@@ -75,6 +84,7 @@
     except ConfigError as error:
         raise SettingsError([Fault(path, 0, str(error))]) from error
     config.cluster, config.control = book.cluster(config.name), book.control()
+    config.handoff = book.handoff()
     book.settle()
     return config
 
@@ -266,6 +276,22 @@
         return ClusterSettings(element.get("member", name), bind, self._path(element.attrib["keys"]), seeds,
                                membership, duty, advertise)
 
+    def handoff(self) -> HandoffSettings | None:
+        """The `handoff` element: what it needs beside it, and whether its figures go together."""
+        element = self.root.find("handoff")
+        if element is None:
+            return None
+        for other in ("cluster", "postgres"):
+            if self.root.find(other) is None:
+                self.fault(element, f"<handoff> needs <{other}>: it copies statements of that front between members")
+        made: HandoffSettings | None = self.check(element, lambda: HandoffSettings(**_taken(element, HANDOFF)))
+        cluster = self.root.find("cluster")
+        if made is not None and cluster is not None and "lately" in cluster.attrib \
+                and duration(cluster.attrib["lately"]) < made.life:
+            self.fault(cluster, f"<cluster> lately: members must be known for as long as records live; at least "
+                                f"{written(made.life)} would be right")
+        return made
+
     def _told(self, element: etree._Element, attribute: str) -> tuple[str, int] | None:
         """An address of `<cluster>` that members may be told; a wildcard would make them send to themselves."""
         found: tuple[str, int] | None = self.check(element, lambda: address(element.attrib[attribute]))
--- a/decklb/config/platform.py
+++ b/decklb/config/platform.py
@@ -20,6 +20,7 @@
 if TYPE_CHECKING:
     from decklb.bgp.settings import BgpSettings
     from decklb.cluster.settings import ClusterSettings
+    from decklb.handoff.settings import HandoffSettings
     from decklb.pg.settings import PgSettings
 
 SOCKETS = 1024  # where no limit is told
@@ -47,6 +48,7 @@
     postgres: PgSettings | None  # given: this front serves instead of the platform's
     bgp: BgpSettings | None
     cluster: ClusterSettings | None = None
+    handoff: HandoffSettings | None = None
     control: str = ""  # path of the Unix socket that answers operators; none without
 
     @property
--- a/decklb/core/dispatcher.py
+++ b/decklb/core/dispatcher.py
@@ -107,6 +107,10 @@
             for a in r.attempts:
                 self._give_up(a, Outcome.CXL)
 
+    def cancel(self, r: Request) -> None:
+        """Its client wants it no more; without anything that outlives the client this is the same."""
+        self.abandon(r)
+
     def members(self, entries: list[api.Entry]) -> None:
         """The whole list of engines, as last heard."""
         self._post(api.Members(entries, True))
--- a/decklb/core/ports.py
+++ b/decklb/core/ports.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 if TYPE_CHECKING:
     from decklb.core.dispatcher import Attempt
@@ -15,7 +15,10 @@
 
 @dataclass(slots=True)
 class Work:
-    """One request as a front took it. `rid`, class, statement and token reach engines unchanged."""
+    """One request as a front took it. `rid`, class, statement and token reach engines unchanged.
+
+    `once` names the request to all managers where its client may come back for its one answer; "" is most.
+    """
 
     rid: str
     lane: str
@@ -25,6 +28,7 @@
     tables: int = 0
     key: str | None = None
     token: str = ""
+    once: str = ""
 
 
 class Timer(Protocol):
@@ -57,6 +61,19 @@
         """No promise about what was done."""
 
 
+class Intake(Protocol):
+    """Where a front brings its requests: the dispatcher, or what stands before it."""
+
+    def submit(self, work: Work, sink: AnswerSink) -> Any:
+        """Take a request; its sink gets one answer, unless it is abandoned. Returns what names it here."""
+
+    def abandon(self, taken: Any) -> None:
+        """Its client has left: nobody waits for an answer."""
+
+    def cancel(self, taken: Any) -> None:
+        """Its client wants it no more: no answer, and its work ends."""
+
+
 class EngineClient(Protocol):
     """Runs attempts; for each it calls `attempt.end` once, unless it is told to give it up first."""
 
--- a/decklb/daemon/assembly.py
+++ b/decklb/daemon/assembly.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from decklb.bgp.speaker import Speaker
     from decklb.cluster.runtime import ClusterService
+    from decklb.handoff.runtime import HandoffService
     from decklb.net.engines import RespEngines
     from decklb.net.front import Front
     from decklb.pg.engines import PgEngines
@@ -82,3 +83,20 @@
         return ClusterService(reactor, clock, config.cluster, Prober(reactor, clock, link, idle), probed)
     except KeyFileError as error:
         raise ConfigError(str(error)) from error
+
+
+def handoff(reactor: Any, clock: Clock, config: Config, parts: Parts,
+            member: ClusterService | None) -> HandoffService | None:
+    """What takes over work in hand, where there is a section for it; it stands between front and dispatcher."""
+    if config.handoff is None or member is None:
+        return None
+    from decklb.handoff.guard import Guard
+    from decklb.handoff.runtime import HandoffService
+    from decklb.pg.codec import PgCodec
+    from decklb.pg.front import PgFront
+
+    front = parts.front
+    assert isinstance(front, PgFront)  # the settings are refused without that front
+    guard = Guard(parts.dispatcher, clock, PgCodec(front.rid), config.cluster.member if config.cluster else "")
+    front.intake, front.keeps = guard, True
+    return HandoffService(reactor, clock, config.handoff, member, guard)
--- a/decklb/daemon/service.py
+++ b/decklb/daemon/service.py
@@ -12,7 +12,7 @@
 
 from decklb.config import Config, ConfigError
 from decklb.core.ports import Timer
-from decklb.daemon.assembly import assemble, cluster, speaker
+from decklb.daemon.assembly import assemble, cluster, handoff, speaker
 from decklb.daemon.garbage import Collector
 from decklb.interface import Entry, Outcome, Phase
 from decklb.net.directory import Directory
@@ -37,6 +37,7 @@
         self.dispatcher, self.front, self.engines = parts.dispatcher, parts.front, parts.engines
         self.speaker = speaker(reactor, self.clock, config)
         self.cluster = cluster(reactor, self.clock, config, self._probed)
+        self.handoff = handoff(reactor, self.clock, config, parts, self.cluster)
         self.directory = Directory(self.clock, config.resolver, self.rng.randrange, self._list)
         self.up = 0  # engines that the list calls up
         self.listening = self.stopping = self.late = False
@@ -59,6 +60,8 @@
             self.speaker.start()
         if self.cluster is not None:
             self.cluster.start()
+        if self.handoff is not None:
+            self.handoff.start()
         if c.control:
             self._open_control(c.control)
         self._say()
@@ -71,7 +74,7 @@
     def _open_control(self, path: str) -> None:
         from decklb.daemon.control import listen
 
-        listen(self.reactor, path, {"members": self._members, "duties": self._duties})
+        listen(self.reactor, path, {"members": self._members, "duties": self._duties, "handoff": self._handoff})
 
     def _members(self) -> dict[str, Any]:
         if self.cluster is None:
@@ -81,6 +84,9 @@
     def _duties(self) -> list[dict[str, Any]]:
         return [] if self.cluster is None else self.cluster.duties()
 
+    def _handoff(self) -> dict[str, Any]:
+        return {} if self.handoff is None else self.handoff.keeper.health()
+
     def _probed(self, engine: str, up: bool) -> None:
         """What the members hold of an engine that the list calls up."""
         self.dispatcher.probed(engine, Outcome.GOOD if up else Outcome.NOCONN)
@@ -98,7 +104,7 @@
             return logger.error("SIGHUP: configuration kept, the new one can't be used: {error}",
                                 event="reload-refused", error=repr(error))
         kept = [name for name in ("name", "listen", "sockets", "memory", "settings", "limits", "postgres", "bgp",
-                                 "cluster", "control")
+                                 "cluster", "handoff", "control")
                 if getattr(new, name) != getattr(self.config, name)]
         if kept:
             logger.warning("SIGHUP: a restart is needed for a change of {parts}", event="reload-partial",
@@ -109,6 +115,8 @@
                 self._open_directory()
         if self.cluster is not None:
             self.cluster.reload()
+        if self.handoff is not None:
+            self.handoff.reload()
         logger.info("SIGHUP: configuration read, list {index}, resolver {resolver}", event="reloaded",
                     index=self.directory.index, resolver=new.resolver)
 
@@ -142,13 +150,19 @@
         self.stopping = True
         logger.info("SIGTERM: draining, {open} requests open", event="draining", open=self.dispatcher.open)
         self._say()
-        if self.cluster is not None:
-            self.cluster.close()
+        if self.handoff is None:  # else what is in hand is still answered as a member
+            self._leave()
         self.front.announce()
         self.clock.call_later(GRACE, self._drain)
         longest = max(c.deadline for c in self.config.settings.classes.values())
         self.clock.call_later(max(GRACE, min(LONGEST, longest) - LAST_CALL), self.dispatcher.close)
 
+    def _leave(self) -> None:
+        if self.handoff is not None:
+            self.handoff.close()
+        if self.cluster is not None:
+            self.cluster.close()
+
     def _drain(self) -> None:
         self.listening = False
         self.port.stopListening()
@@ -163,6 +177,8 @@
             self.engines.close()
             if self.speaker is not None:
                 self.speaker.close()
+            if self.handoff is not None:
+                self.clock.call_later(FLUSH / 2, self._leave)  # last answers wait for a quorum before they are given
             self.final = self.clock.call_later(FLUSH, self.reactor.stop)
 
     def run(self) -> None:
--- a/decklb/handoff/fencing.py
+++ b/decklb/handoff/fencing.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from decklb.handoff.records import Record
@@ -39,13 +40,20 @@
         if sent > self._heard.get(voter, -float("inf")):
             self._heard[voter] = sent
 
-    def holds(self, record: Record, now: float, mine: Promises) -> bool:
-        """True while this member may act on the record. It counts itself only while its own grants admit the record:
-        a holder that granted a higher claim has stepped down, whatever others still acknowledge."""
+    def forget(self, voter: str) -> None:
+        """It lost its memory: what it acknowledged before counts no more."""
+        self._heard.pop(voter, None)
+
+    def holds(self, record: Record, now: float, mine: Promises, unfit: Collection[str] = (),
+              early: float = 0.0) -> bool:
+        """True while this member may act on the record, and for `early` ms more. It counts itself only while its own
+        grants admit the record: a holder that granted a higher claim has stepped down, whatever others still
+        acknowledge. Voters that are unfit (they granted a higher claim, or lost their memory) don't count."""
         if record.owner != self.me or not mine.admits(record):
             return False
-        lease, heard = self.settings.lease, self._heard
-        fresh = sum(1 for v in record.voters if v == self.me or now - heard.get(v, -float("inf")) < lease)
+        since, heard = now + early - self.settings.lease, self._heard
+        fresh = sum(1 for v in record.voters
+                    if v not in unfit and (v == self.me or heard.get(v, -float("inf")) > since))
         return fresh >= quorum_of(record, self.settings)
 
 
@@ -71,6 +79,10 @@
         """The highest term granted for a key; 0 for none."""
         return self._granted.get(key, (0, ""))[0]
 
+    def above(self, key: str, term: int) -> None:
+        """From now on only what is above this term: a record of it was let go, and stale copies may be about."""
+        self._granted[key] = max((term, ""), self._granted.get(key, (-1, "")))
+
     def drop(self, key: str) -> None:
         self._granted.pop(key, None)
 
@@ -88,10 +100,14 @@
 
     @classmethod
     def start(cls, record: Record, me: str, settings: HandoffSettings, floor: int = 0) -> Claim:
-        """A claim above the record's term and above `floor`, a term heard refused before; it grants itself."""
-        claim = cls(record, (max(record.term, floor) + 1, me), settings)
-        claim.granted[me] = record
-        return claim
+        """A claim above the record's term and above `floor`, a term heard refused before. The claimer's own grant
+        comes last (`wants_own`): one that others refuse must not take its vote from a holder that lives."""
+        return cls(record, (max(record.term, floor) + 1, me), settings)
+
+    def wants_own(self) -> bool:
+        """Whether nothing but the claimer's own grant is lacking."""
+        return self.won_at is None and self.ballot[1] not in self.granted \
+            and len(self.granted) + 1 >= quorum_of(self.record, self.settings)
 
     def grant(self, voter: str, newest: Record | None, now: float) -> None:
         """A voter granted it, with the newest record it holds of the key."""
@@ -114,7 +130,7 @@
             return None
         return self.won_at + self.settings.lease * (1 + self.settings.drift)
 
-    def newest(self) -> Record:
+    def newest(self, run: int = 0) -> Record:
         """The record it takes: the newest among the grants, under its own term."""
-        best = max((r for r in self.granted.values() if r is not None), key=Record.order)
-        return best.taken(self.ballot[1], self.ballot[0])
+        best = max((r for r in (self.record, *self.granted.values()) if r is not None), key=Record.order)
+        return best.taken(self.ballot[1], self.ballot[0], run)
--- /dev/null
+++ b/decklb/handoff/guard.py
@@ -0,0 +1,266 @@
+"""Between a front and the dispatcher: requests with a key are protected, all others pass by.
+
+The guard knows no wire. A protected request is taken once a quorum has its record, an attempt goes out once a quorum
+knows of it, and its final answer is given once a quorum has it. Its client may leave and come back with the key, here
+or to another manager. Whatever can't be vouched for is told as `refused`: with its key, coming back is always harmless.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from decklb.core.dispatcher import Attempt, Dispatcher, Request
+from decklb.core.ports import AnswerSink, Clock, EngineClient, Work
+from decklb.handoff.keeper import Keeper, Taken
+from decklb.handoff.records import Outcome, Record, fingerprint
+from decklb.interface import Outcome as End
+
+BACK = 200.0  # ms after which a client whose request still runs had better ask again
+MADE = "auto"  # the key by which a client asks the manager to make one
+
+
+class Codec(Protocol):
+    """How a front's requests are written down for another manager of the same front."""
+
+    def encode(self, work: Work) -> bytes:
+        """All that another manager needs to run it, without its budget; the same for the same request."""
+
+    def decode(self, body: bytes, budget: float) -> Work:
+        """The request again, with what is left of its budget."""
+
+
+class Stakes(Protocol):
+    """A sink that is told more than the core's three words where its request is protected."""
+
+    def refused(self, backoff: float) -> None: ...
+
+    def conflict(self) -> None:
+        """The key was given to another request."""
+
+
+@dataclass(eq=False, slots=True)
+class Protected:
+    """One request with a key, from its arrival here until its answer is given, or until it is another's."""
+
+    guard: Guard
+    key: str
+    sink: AnswerSink | None  # none: nobody waits here, but the answer is kept
+    request: Request | None = None
+    carried: Carried | None = None  # the attempt that is out
+    after: list[Callable[[], None]] = field(default_factory=list)  # once it is out no longer
+
+    def served(self, result: bytes) -> None:
+        """The core's word: an engine's whole answer."""
+        self.guard.final(self, Outcome.SERVED, result)
+
+    def failed(self) -> None:
+        """The core's word: no promise."""
+        self.guard.final(self, Outcome.FAILED, b"")
+
+    def refused(self, backoff: float) -> None:
+        """The core's word: a retry is harmless, so the key is free again."""
+        self.guard.turned_away(self, backoff)
+
+    def tell(self, call: Callable[[AnswerSink], None]) -> None:
+        """To whoever waits, once."""
+        sink, self.sink = self.sink, None
+        if sink is not None:
+            call(sink)
+
+
+class Carried:
+    """An attempt as the engine client sees it, where its start waits for a quorum and its end is looked at first."""
+
+    __slots__ = ("attempt", "owner", "handle", "state")
+
+    def __init__(self, attempt: Attempt, owner: Protected) -> None:
+        self.attempt, self.owner = attempt, owner
+        self.handle: object = None
+        self.state = "waiting"  # then "out", "gone"
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.attempt, name)  # request, engine, deadline and the like
+
+    def end(self, outcome: End, result: bytes = b"") -> None:
+        """How it ended."""
+        guard = self.owner.guard
+        if outcome in (End.FULL, End.NOCONN):  # it provably never ran
+            guard.keeper.bounced(guard.clock.now(), self.owner.key)
+            guard.pump()
+        guard.ended(self)
+        self.attempt.end(outcome, result)
+
+
+class Engines:
+    """The engine client of a guarded core."""
+
+    def __init__(self, inner: EngineClient, guard: Guard) -> None:
+        self.inner, self.guard = inner, guard
+
+    def start(self, attempt: Attempt) -> None:
+        """Send it, a protected one once a quorum knows."""
+        owner = self.guard.running.get(attempt.request.ident)
+        if owner is None:
+            return self.inner.start(attempt)
+        carried = owner.carried = Carried(attempt, owner)
+        attempt.handle = carried
+        self.guard.keeper.sending(self.guard.clock.now(), owner.key, attempt.engine,
+                                  lambda ok: self._go(carried, ok))
+        self.guard.pump()
+
+    def _go(self, carried: Carried, ok: bool) -> None:
+        if carried.state != "waiting":
+            return
+        if not ok:
+            return self.guard.hold_back(carried.owner)
+        carried.state = "out"
+        self.inner.start(carried)  # type: ignore[arg-type]
+
+    def give_up(self, attempt: Attempt, freed: Callable[[], None]) -> None:
+        """Call it off; one that waits never goes out."""
+        carried = attempt.handle
+        if not isinstance(carried, Carried):
+            return self.inner.give_up(attempt, freed)
+        waiting, carried.state = carried.state == "waiting", "gone"
+        if waiting:
+            self.guard.ended(carried)
+            self.guard.clock.call_later(0, freed)
+        else:
+            self.inner.give_up(carried, lambda: (self.guard.ended(carried), freed())[1])  # type: ignore[arg-type,func-returns-value]
+
+
+class Guard:
+    """Protects the requests of one dispatcher."""
+
+    def __init__(self, dispatcher: Dispatcher, clock: Clock, codec: Codec, name: str) -> None:
+        self.dispatcher, self.clock, self.codec, self.name = dispatcher, clock, codec, name
+        self.keeper: Keeper  # given by whoever runs it, whose hooks we are
+        self.pump: Callable[[], None] = lambda: None
+        self.running: dict[str, Protected] = {}  # by the core's name of the request
+        self.by_key: dict[str, Protected] = {}
+        self.closing = False
+        self._made = 0
+        dispatcher.engines = Engines(dispatcher.engines, self)
+
+    # What fronts call.
+
+    def submit(self, work: Work, sink: AnswerSink) -> Request | Protected:
+        """Take a request; its sink gets one answer, unless it is abandoned."""
+        if not work.once:
+            return self.dispatcher.submit(work, sink)
+        made = work.once == MADE
+        if made:
+            self._made += 1
+            work.once = f"{self.name}.{self.keeper.run:x}.{self._made}"
+        work.budget = min(work.budget, self.keeper.s.longest)
+        body, now = self.codec.encode(work), self.clock.now()
+        p = Protected(self, work.once, sink)
+        record = Record(work.once, "", 0, 0, work.tenant, work.lane, self.dispatcher.settings.classes[work.lane].effect,
+                        now + work.budget, fingerprint(body), made=made)
+        self.keeper.take(now, record, body, lambda taken: self._taken(p, work, taken, now))
+        self.pump()
+        return p
+
+    def abandon(self, taken: Request | Protected) -> None:
+        """Its client has left. A protected request goes on: the client may come back for the answer."""
+        if isinstance(taken, Protected):
+            taken.sink = None
+        else:
+            self.dispatcher.abandon(taken)
+
+    def cancel(self, taken: Request | Protected) -> None:
+        """Its client wants it no more, and is told so by its front."""
+        if not isinstance(taken, Protected):
+            return self.dispatcher.abandon(taken)
+        taken.sink = None
+        if taken.request is not None and not taken.request.answered:
+            self.dispatcher.abandon(taken.request)
+            self._forget(taken)
+            self.keeper.answered(self.clock.now(), taken.key, Outcome.FAILED, b"", "cancelled", lambda ok: None)
+            self.pump()
+
+    # What the keeper calls.
+
+    def adopt(self, record: Record, body: bytes) -> None:
+        """A request taken over, or taken up again, is run here."""
+        earlier = self.by_key.get(record.key)
+        if earlier is not None and earlier.carried is not None:  # what was called off is not out of the engine yet
+            earlier.after.append(lambda: self.adopt(record, body))
+            return
+        if record.key not in self.keeper.holds:
+            return
+        now = self.clock.now()
+        p = Protected(self, record.key, None)
+        self._run(p, self.codec.decode(body, max(1.0, record.deadline - now)))
+
+    def stop(self, key: str) -> None:
+        """This member may not act on it now: what is out is called off, and its client asks again."""
+        p = self.by_key.get(key)
+        if p is not None:
+            self.hold_back(p)
+
+    # What the parts above call.
+
+    def hold_back(self, p: Protected) -> None:
+        """Nobody can vouch for it here at the moment."""
+        if p.request is not None and not p.request.answered:
+            self.dispatcher.abandon(p.request)
+        self._forget(p)
+        p.tell(lambda sink: sink.refused(BACK))
+
+    def ended(self, carried: Carried) -> None:
+        """An attempt is out no longer."""
+        p, carried.state = carried.owner, "gone"
+        if p.carried is carried:
+            p.carried = None
+            after, p.after = p.after, []
+            for call in after:
+                call()
+            if p.request is None and self.by_key.get(p.key) is p:
+                del self.by_key[p.key]
+
+    def final(self, p: Protected, outcome: Outcome, answer: bytes) -> None:
+        """The core has its final answer; it is given once a quorum has it."""
+        def told(ok: bool) -> None:
+            if not ok:
+                return p.tell(lambda sink: sink.refused(BACK))
+            p.tell(lambda sink: sink.served(answer) if outcome is Outcome.SERVED else sink.failed())
+
+        self._forget(p)
+        self.keeper.answered(self.clock.now(), p.key, outcome, answer, "", told)
+        self.pump()
+
+    def turned_away(self, p: Protected, backoff: float) -> None:
+        """The core turned it away."""
+        self._forget(p)
+        self.keeper.release(self.clock.now(), p.key)
+        self.pump()
+        p.tell(lambda sink: sink.refused(backoff))
+
+    # Inside.
+
+    def _taken(self, p: Protected, work: Work, taken: Taken, since: float) -> None:
+        if taken.state == "taken":
+            work.budget = max(1.0, work.budget - (self.clock.now() - since))
+            return self._run(p, work)
+        if taken.state == "done" and taken.outcome is Outcome.SERVED:
+            return p.tell(lambda sink: sink.served(taken.answer))
+        if taken.state == "done":
+            return p.tell(lambda sink: sink.failed())
+        if taken.state == "reused":
+            return p.tell(lambda sink: getattr(sink, "conflict", sink.failed)())
+        p.tell(lambda sink: sink.refused(BACK))
+
+    def _run(self, p: Protected, work: Work) -> None:
+        self.by_key[p.key] = p
+        p.request = self.dispatcher.submit(work, p)
+        self.running[p.request.ident] = p
+
+    def _forget(self, p: Protected) -> None:
+        if p.request is not None:
+            self.running.pop(p.request.ident, None)
+            p.request = None
+        if p.carried is None and self.by_key.get(p.key) is p:
+            del self.by_key[p.key]
--- a/decklb/handoff/placement.py
+++ b/decklb/handoff/placement.py
@@ -15,7 +15,7 @@
 
 
 class Placement:
-    """Successors of each bucket, best first, among the members given last."""
+    """The ranking of each bucket, best first, among the members given last."""
 
     def __init__(self, buckets: int) -> None:
         self.buckets = buckets
@@ -41,6 +41,7 @@
             found = self._ranked[bucket] = tuple(sorted(self._members, key=lambda m: (-_hash(f"{bucket}/{m}"), m)))
         return found
 
-    def successors(self, key: str, owner: str, count: int) -> tuple[str, ...]:
-        """The `count` best members for a key beside its owner."""
-        return tuple(m for m in self.ranked(self.bucket(key)) if m != owner)[:count]
+    def voters(self, key: str, count: int) -> tuple[str, ...]:
+        """The `count` best members for a key, whoever takes it: any two majorities of one key then share a member, also
+        where two managers are given the key at once."""
+        return self.ranked(self.bucket(key))[:count]
--- a/decklb/handoff/records.py
+++ b/decklb/handoff/records.py
@@ -1,7 +1,8 @@
 """What a manager knows of one request it took, as it is copied to others (free of I/O).
 
 A record is whole and immutable: a copy replaces an older one, never merges with it. Of two records of a key the one of
-the higher term wins, and within a term the higher version: only the holder of a term writes its versions.
+the higher term wins, and within a term the higher version: only the holder of a term writes its versions. Two managers
+that were given a new key at once may both write term 1; only one of them is admitted by a quorum, and its record wins.
 """
 
 from __future__ import annotations
@@ -12,6 +13,8 @@
 
 from decklb.interface import Effect
 
+TOO_LARGE = "too-large"  # reason of a final answer that was not copied
+
 
 class Stage(IntEnum):
     """Where a request stands. The order is the order of its life."""
@@ -52,7 +55,10 @@
     effect: Effect
     deadline: float
     digest: str  # fingerprint of the request
-    voters: tuple[str, ...] = ()  # its successors when it was taken: they alone grant claims and acknowledge copies
+    voters: tuple[str, ...] = ()  # fixed when it was taken: they alone grant claims and acknowledge copies
+    run: int = 0  # of the owner's process: an owner that came back under its name knows nothing of earlier runs
+    made: bool = False  # the key was made by a manager, so nobody can have used it before
+    admitted: bool = False  # a quorum took it: its holder has gone on from the first version
     stage: Stage = Stage.QUEUED
     engine: str = ""  # where it was last sent
     attempts: int = 0
@@ -60,9 +66,9 @@
     answer: bytes = b""
     reason: str = ""  # why it ended so, for the log
 
-    def order(self) -> tuple[int, int]:
+    def order(self) -> tuple[int, bool, int]:
         """Which of two records of a key stands: the higher."""
-        return self.term, self.version
+        return self.term, self.admitted, self.version
 
     def newer(self, other: Record | None) -> bool:
         """True where this one replaces `other`."""
@@ -70,28 +76,35 @@
 
     def sent(self, engine: str) -> Record:
         """An attempt goes to `engine`."""
-        return replace(self, stage=Stage.SENT, engine=engine, attempts=self.attempts + 1, version=self.version + 1)
+        return replace(self, stage=Stage.SENT, engine=engine, attempts=self.attempts + 1, admitted=True,
+                       version=self.version + 1)
 
     def bounced(self) -> Record:
         """The engine answered FULL: the attempt never ran, and the request may be sent again by anyone."""
         return replace(self, stage=Stage.QUEUED, version=self.version + 1)
 
     def answered(self, outcome: Outcome, answer: bytes, room: int, reason: str = "") -> Record:
-        """Its final answer is known. One too large to be copied leaves the record as sent, so a successor judges by
-        the class whether it may be sent again."""
+        """Its final answer is known. Of one too large to be copied only the outcome is: what was served is never in
+        doubt, and what its class lets be repeated is sent again for a client that comes back."""
         if len(answer) > room:
-            return self
-        return replace(self, stage=Stage.ANSWERED, outcome=outcome, answer=answer, reason=reason,
+            answer, reason = b"", TOO_LARGE
+        return replace(self, stage=Stage.ANSWERED, outcome=outcome, answer=answer, reason=reason, admitted=True,
                        version=self.version + 1)
 
+    @property
+    def kept(self) -> bool:
+        """Whether the final answer can be given to a client that comes back."""
+        return self.stage >= Stage.ANSWERED and self.reason != TOO_LARGE
+
     def delivered(self) -> Record:
         """The client has it: only the outcome is kept, for a client that comes back."""
         return replace(self, stage=Stage.DELIVERED, answer=b"", version=self.version + 1)
 
-    def taken(self, owner: str, term: int) -> Record:
+    def taken(self, owner: str, term: int, run: int = 0) -> Record:
         """Another member holds it from now, under a higher term."""
-        return replace(self, owner=owner, term=term, version=0)
+        return replace(self, owner=owner, term=term, run=run, version=0, admitted=True)
 
     def ended(self, outcome: Outcome, reason: str) -> Record:
         """Its final answer is one the holder gives itself, without an engine: refused or failed."""
-        return replace(self, stage=Stage.ANSWERED, outcome=outcome, answer=b"", reason=reason, version=self.version + 1)
+        return replace(self, stage=Stage.ANSWERED, outcome=outcome, answer=b"", reason=reason, admitted=True,
+                       version=self.version + 1)
--- a/decklb/handoff/table.py
+++ b/decklb/handoff/table.py
@@ -1,8 +1,9 @@
-"""The records a member holds, its own and copies of others', bounded in number and in time (free of I/O)."""
+"""The records a member holds, its own and copies of others', bounded in number, bytes and time (free of I/O)."""
 
 from __future__ import annotations
 
 import heapq
+from collections.abc import Iterator
 from dataclasses import dataclass, replace
 
 from decklb.handoff.errors import KeyReused, TableFull
@@ -19,6 +20,7 @@
     owner: str = ""
     outcome: Outcome | None = None
     answer: bytes = b""
+    reason: str = ""
 
     @property
     def known(self) -> bool:
@@ -29,12 +31,15 @@
 
 
 class Table:
-    """Records by key; each is dropped once it has lingered past its deadline."""
+    """Records by key, with the request itself as long as it has no final answer; each is dropped once it has lingered
+    past its deadline."""
 
     def __init__(self, settings: HandoffSettings) -> None:
         self.settings = settings
         self.promises = Promises()
+        self.held = 0  # bytes of requests and answers
         self._records: dict[str, Record] = {}
+        self._bodies: dict[str, bytes] = {}
         self._ends: list[tuple[float, str]] = []  # (deadline, key); stale entries are skipped when they come up
 
     def __len__(self) -> int:
@@ -43,26 +48,33 @@
     def __contains__(self, key: str) -> bool:
         return key in self._records
 
+    def __iter__(self) -> Iterator[Record]:
+        return iter(self._records.values())
+
     def get(self, key: str) -> Record | None:
         return self._records.get(key)
 
-    def take(self, record: Record) -> Record:
+    def body(self, key: str) -> bytes | None:
+        """The request itself, as its front wrote it; None once it has its final answer."""
+        return self._bodies.get(key)
+
+    def take(self, record: Record, body: bytes = b"") -> Record:
         """A request taken here. The same request again under its key gets the record it has; another, KeyReused."""
         held = self._records.get(record.key)
         if held is not None:
             if held.digest != record.digest:
                 raise KeyReused(record.key)
             return held
-        if len(self._records) >= self.settings.capacity:
+        if self._full(len(body)):
             raise TableFull(self.settings.capacity)
-        self._store(record)
+        self._store(record, body)
         return record
 
-    def write(self, record: Record) -> None:
+    def write(self, record: Record, body: bytes | None = None) -> None:
         """A new version of a record held here, by its holder."""
-        self._store(record)
+        self._store(record, body)
 
-    def receive(self, record: Record, left: float, now: float) -> bool:
+    def receive(self, record: Record, left: float, now: float, body: bytes | None = None) -> bool:
         """A copy from its holder, with `left` ms of its budget: True to acknowledge it. Copies of a term that a claim
         has passed, older versions, requests of another digest and copies beyond the room are not acknowledged."""
         if not self.promises.admits(record):
@@ -70,20 +82,25 @@
         held = self._records.get(record.key)
         if held is not None and (held.digest != record.digest or not record.newer(held)):
             return held.digest == record.digest and held.order() == record.order()  # the same copy twice
-        if held is None and len(self._records) >= self.settings.capacity:
+        if self._full(len(body or b"") + len(record.answer), held is None):
             return False
-        self._store(replace(record, deadline=now + left))
+        self._store(replace(record, deadline=now + left), body)
         return True
 
     def claim(self, key: str, me: str, floor: int = 0) -> Claim | None:
-        """A claim of a record held here, above any term granted here, its own grant written down; None where none
-        is held."""
+        """A claim of a record held here, above any term granted here; None where none is held."""
         held = self._records.get(key)
         if held is None:
             return None
-        claim = Claim.start(held, me, self.settings, max(floor, self.promises.term(key)))
-        self.promises.grant(key, claim.ballot)
-        return claim
+        return Claim.start(held, me, self.settings, max(floor, self.promises.term(key)))
+
+    def grant(self, key: str, ballot: tuple[int, str], now: float) -> bool:
+        """A claim by another member; what was granted is remembered for as long as a record of the key may live."""
+        if not self.promises.grant(key, ballot):
+            return False
+        if key not in self._records:
+            heapq.heappush(self._ends, (now + self.settings.life, key))
+        return True
 
     def lookup(self, key: str, digest: str) -> Lookup:
         """For a client that comes back. Raises KeyReused where the key was given to another request."""
@@ -93,23 +110,49 @@
         if held.digest != digest:
             raise KeyReused(key)
         if held.stage >= Stage.ANSWERED:
-            return Lookup(outcome=held.outcome, answer=held.answer)
+            return Lookup(outcome=held.outcome, answer=held.answer, reason=held.reason)
         return Lookup(owner=held.owner)
 
-    def expire(self, now: float) -> int:
-        """Drops what has lingered out; how many."""
-        dropped = 0
+    def drop(self, key: str) -> None:
+        """Its holder has let go of it: the key is free, for terms above if its holder had gone on from the first
+        version. That is remembered until it would have lapsed, since another voter may have missed it: its stale copy
+        must not outdo what is taken next."""
+        held = self._records.pop(key, None)
+        if held is not None:
+            self.held -= len(held.answer)
+            self._forget_body(key)
+            if held.admitted:
+                self.promises.above(key, held.term)
+
+    def expire(self, now: float) -> list[str]:
+        """Drops what has lingered out, and says which keys."""
+        dropped = []
         while self._ends and self._ends[0][0] < now:
             _, key = heapq.heappop(self._ends)
             held = self._records.get(key)
-            if held is not None and lapsed(held, now, self.settings):
-                del self._records[key]
+            if held is None:
+                self.promises.drop(key)
+            elif lapsed(held, now, self.settings):
+                self.drop(key)
                 self.promises.drop(key)
-                dropped += 1
+                dropped.append(key)
         return dropped
 
-    def _store(self, record: Record) -> None:
-        held = self._records.get(record.key)
-        self._records[record.key] = record
+    def _full(self, more: int, another: bool = True) -> bool:
+        return self.held + more > self.settings.room or another and len(self._records) >= self.settings.capacity
+
+    def _store(self, record: Record, body: bytes | None) -> None:
+        key, held = record.key, self._records.get(record.key)
+        self._records[key] = record
+        self.held += len(record.answer) - (len(held.answer) if held is not None else 0)
+        if record.stage >= Stage.ANSWERED:
+            self._forget_body(key)
+        elif body is not None:
+            self._forget_body(key)
+            self._bodies[key] = body
+            self.held += len(body)
         if held is None or held.deadline != record.deadline:
-            heapq.heappush(self._ends, (record.deadline + self.settings.slack + self.settings.linger, record.key))
+            heapq.heappush(self._ends, (record.deadline + self.settings.slack + self.settings.linger, key))
+
+    def _forget_body(self, key: str) -> None:
+        self.held -= len(self._bodies.pop(key, b""))
--- a/decklb/handoff/takeover.py
+++ b/decklb/handoff/takeover.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
 
@@ -34,7 +34,7 @@
     """What the holder of a record taken over does with it."""
     if record.stage is Stage.DELIVERED:
         return Decision(Step.KEEP, record, "delivered")
-    if record.stage is Stage.ANSWERED:
+    if record.stage is Stage.ANSWERED and (record.kept or record.effect is not Effect.SAFE or now > record.deadline):
         return Decision(Step.HOLD, record, "answered")
     if now > record.deadline:
         return Decision(Step.FAIL, record.ended(Outcome.FAILED, "deadline"), "deadline")
@@ -47,11 +47,14 @@
     return Decision(Step.FAIL, record.ended(Outcome.FAILED, "in-doubt"), "in-doubt")
 
 
-def claimer(record: Record, alive: Collection[str]) -> str | None:
-    """Of the voters alive in this view, the first claims; the others grant; None while the owner is."""
-    if record.owner in alive:
+def turn(record: Record, me: str, alive: Mapping[str, int]) -> int | None:
+    """Which turn of those alive in this view (by name, with the run of each) `me` has in claiming a record: 0 claims
+    first, the others grant unless they see nothing of it. None where it has none, or the owner lives in its run."""
+    if alive.get(record.owner) == record.run or me not in record.voters:
         return None
-    return next((v for v in record.voters if v in alive), None)
+    # An owner that came back is asked last: it has forgotten the record, unless it kept it on disk.
+    order = [v for v in record.voters if v in alive and v != record.owner] + [record.owner]
+    return order.index(me) if me in order else None
 
 
 def lapsed(record: Record, now: float, settings: HandoffSettings) -> bool:
--- /dev/null
+++ b/decklb/lab/outage.py
@@ -0,0 +1,338 @@
+"""Fault runs between real processes: managers that take over one another's work, their engines, clients that come
+back, and faults by seed between all of them. On loopback, bounded in time and count; see docs/faults.md.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import os
+import random
+import re
+import signal
+import struct
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import ujson
+
+from decklb.cluster import keyfile
+from decklb.lab.faults import Fault, Kind, Link, schedule
+from decklb.lab.rig import Address, Rig
+from decklb.lab.verdict import Line, Story, Verdict, judge
+from decklb.pg import messages as pg
+
+READ, LOAD = "read", "load"  # may be repeated; at most once
+START = 20.0  # seconds for a process to come up
+COME_BACK = ("53000", "53300", "57P01", "57P03", "08006")  # answers after which a client asks again
+SLACK = 0.5  # seconds past its deadline in which an answer still counts
+KINDS = (Kind.KILL, Kind.STOP, Kind.PARTITION, Kind.CUT, Kind.LOSSY)
+
+SETTINGS = """<decklb version="1">
+  <process name="{name}" listen="127.0.0.1:0" sockets="512"/>
+  <classes>
+    <class name="read" aim="1s" stretch="2" deadline="{longest}ms" semantics="idempotent"/>
+    <class name="load" aim="1s" stretch="2" deadline="{longest}ms" semantics="at_most_once"/>
+  </classes>
+  <tenants><tenant name="cusco" share="100%"/></tenants>
+  <kinds><kind name="k" cores="64"/></kinds>
+  <rules tick="2ms" max-attempts="4" cancelling="true" retry-after="200ms" cold="10ms" cold-share="100%"
+         drain-grace="1s" extra-floor="50" extra-share="50%" extra-window="5s" fall="1s" overload-factor="3"
+         settle-after-doubt="50ms"/>
+  <engines list="1">{engines}</engines>
+  <postgres user="decklb" connections="64"/>
+  <cluster name="outage" bind="{bind}" advertise="{told}" keys="{keys}" interval="100ms" timeout="45ms" gossip="20ms"
+           exchange="500ms" settle="300ms">{seeds}</cluster>
+  <handoff members="{members}" copies="3" lease="{lease}ms" beat="100ms" patience="300ms" resend="60ms" stagger="250ms"
+           longest="{longest}ms" linger="{linger}ms" slack="500ms"/>
+  <control socket="{socket}"/>
+</decklb>
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class Setup:
+    """How large, and how fast things go. Times are milliseconds."""
+
+    managers: int = 3
+    engines: int = 3
+    rate: float = 25.0  # requests a second
+    span: float = 5000.0  # in which requests come and faults strike
+    faults: int = 1
+    longest: float = 4000.0  # deadline of a request
+    linger: float = 1500.0
+    lease: float = 600.0
+    kinds: tuple[Kind, ...] = KINDS
+
+    @property
+    def life(self) -> float:
+        """For so long a record may live; members that restarted vote on no older ones."""
+        return (self.longest + self.linger + 500.0) * 1.01
+
+
+class Process:
+    """A process of this program, or of its stand-ins, whose log lines are kept."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.lines: list[str] = []
+        self.child: asyncio.subprocess.Process
+        self._reader: asyncio.Task[None] | None = None
+
+    async def start(self, *words: str) -> None:
+        env = {k: v for k, v in os.environ.items() if not k.startswith(("LB_", "DECKLB_"))}
+        self.child = await asyncio.create_subprocess_exec(sys.executable, "-m", *words, env=env,
+                                                          cwd=Path(__file__).parents[2],
+                                                          stdout=asyncio.subprocess.PIPE,
+                                                          stderr=asyncio.subprocess.STDOUT)
+        self._reader = asyncio.ensure_future(self._read())
+
+    async def _read(self) -> None:
+        assert self.child.stdout is not None
+        while line := await self.child.stdout.readline():
+            self.lines.append(line.decode("utf-8", "replace"))
+
+    async def says(self, pattern: str) -> re.Match[str]:
+        """The first line that matches, or a fault where the process ends or says nothing for long."""
+        end = time.monotonic() + START
+        while time.monotonic() < end:
+            for line in self.lines:
+                if m := re.search(pattern, line):
+                    return m
+            if self.child.returncode is not None:
+                break
+            await asyncio.sleep(0.02)
+        raise RuntimeError(f"{self.name} did not come up: {''.join(self.lines[-20:])}")
+
+    def signal(self, number: int) -> None:
+        if self.child.returncode is None:
+            self.child.send_signal(number)
+
+    async def kill(self) -> None:
+        self.signal(signal.SIGKILL)
+        await self.child.wait()
+
+
+class Fleet:
+    """Managers, engines and the rig between them, in a folder of its own."""
+
+    def __init__(self, setup: Setup, seed: int, folder: str, index: int = 0) -> None:
+        self.setup, self.folder, self.seed = setup, Path(folder), seed
+        self.names = [f"m{i}" for i in range(setup.managers)]
+        self.host = {n: f"127.0.{10 + index}.{i + 1}" for i, n in enumerate(self.names)}
+        self.managers: dict[str, Process] = {}
+        self.ports: dict[str, int] = {}
+        self.since: dict[str, float] = {}
+        self.engines: list[Process] = []
+        self.binds: dict[str, Address] = {}
+        self.rig: Rig
+        self.spoken: list[str] = []  # log lines of processes that have ended
+
+    async def start(self) -> None:
+        """All of it, in order: engines, the rig, managers."""
+        targets: dict[str, dict[str, Address]] = {}
+        for i in range(self.setup.engines):
+            e = Process(f"e{i}")
+            self.engines.append(e)
+            await e.start("decklb.lab.witness", e.name, str(self.setup.managers), str(self.folder / f"{e.name}.log"))
+            ports = ujson.loads((await e.says(r"^(\[.*\])"))[1])
+            targets[e.name] = {n: ("127.0.0.1", p) for n, p in zip(self.names, ports, strict=True)}
+        self.binds = {n: (self.host[n], _free(self.host[n])) for n in self.names}
+        self.rig = Rig(self.binds, self.seed, targets)
+        await self.rig.open()
+        keyfile.write(str(self.folder / "keys.json"), [keyfile.make()])
+        await asyncio.gather(*(self.up(n) for n in self.names))
+
+    async def up(self, name: str) -> None:
+        """Start a manager, at first or again."""
+        s, path = self.setup, self.folder / f"{name}.xml"
+        engines = "".join('<engine id="{}" address="{}:{}" zone="z" kind="k" weight="8"/>'.format(
+            e.name, *self.rig.gates[name, e.name]) for e in self.engines)
+        path.write_text(SETTINGS.format(
+            name=name, bind="{}:{}".format(*self.binds[name]), told="{}:{}".format(*self.rig.told[name]),
+            keys="keys.json", engines=engines,
+            seeds="".join("<seed>{}:{}</seed>".format(*a) for a in self.rig.told.values()),
+            members=s.managers, lease=f"{s.lease:g}", longest=f"{s.longest:g}", linger=f"{s.linger:g}",
+            socket=f"{name}.sock"))
+        if name in self.managers:
+            self.spoken += self.managers[name].lines
+        p = self.managers[name] = Process(name)
+        await p.start("decklb", "serve", "--settings", str(path))
+        self.ports[name] = int((await p.says(r"listens on [\d.]+:(\d+)"))[1])
+        self.since[name] = time.monotonic()
+
+    async def remember(self) -> None:
+        """Wait until every manager remembers for longer than any record lives, so that each may vote again."""
+        await asyncio.sleep(max(0.0, max(self.since.values()) + self.setup.life / 1000 + 0.3 - time.monotonic()))
+
+    async def strike(self, fault: Fault) -> None:
+        """One fault, or the end of one."""
+        rig, manager = self.rig, self.managers[fault.target]
+        match fault.kind:
+            case Kind.KILL:
+                await manager.kill()
+            case Kind.RESTART:
+                await self.up(fault.target)
+            case Kind.STOP:
+                manager.signal(signal.SIGSTOP)
+            case Kind.CONT:
+                manager.signal(signal.SIGCONT)
+            case Kind.PARTITION:
+                rig.partition(fault.target)
+            case Kind.CUT:
+                rig.set(fault.target, fault.other, Link(cut=True))
+            case Kind.LOSSY:
+                for a, b in ((fault.target, fault.other), (fault.other, fault.target)):
+                    rig.set(a, b, Link(drop=0.15, duplicate=0.1, delay=5.0, jitter=40.0))
+            case Kind.HEAL:
+                rig.heal()
+
+    def witnessed(self) -> list[Line]:
+        """What the engines wrote down so far."""
+        return [Line(**ujson.loads(line), engine=e.name) for e in self.engines
+                for line in (self.folder / f"{e.name}.log").read_text().splitlines()]
+
+    def logged(self, event: str) -> int:
+        """How many log lines of all managers hold this word."""
+        lines = itertools.chain(self.spoken, *(p.lines for p in self.managers.values()))
+        return sum(event in line for line in lines)
+
+    async def stop(self) -> None:
+        """End every process that was started here."""
+        for p in [*self.managers.values(), *self.engines]:
+            p.signal(signal.SIGCONT)
+            await p.kill()
+        if hasattr(self, "rig"):
+            self.rig.close()
+
+
+def _free(host: str) -> int:
+    import socket
+
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as one, socket.socket() as two:
+        one.bind((host, 0))
+        port: int = one.getsockname()[1]
+        two.bind((host, port))
+        return port
+
+
+class Client:
+    """One request of a client that comes back with its key, to any manager, until it has its final answer."""
+
+    def __init__(self, fleet: Fleet, rng: random.Random, key: str) -> None:
+        self.fleet, self.rng = fleet, rng
+        now, s = time.monotonic(), fleet.setup
+        self.story = Story(key, rng.choice((READ, LOAD)), now, now + s.longest / 1000 + SLACK)
+        self.sql = f"select 1 -- run={key} work={rng.choice((5, 20, 80, 300))}"
+        self.patience = rng.choice((0.3, 1.0, 5.0))  # seconds that it waits on one connection
+
+    async def run(self) -> Story:
+        """To the final answer, and sometimes once more: the answer must be the same."""
+        s = self.story
+        await self._until(lambda: bool(s.finals), s.due)
+        if s.finals and self.rng.random() < 0.3:
+            n = len(s.finals)
+            await self._until(lambda: len(s.finals) > n, min(time.monotonic() + 0.8, s.due))
+        return s
+
+    async def _until(self, done: Callable[[], bool], end: float) -> None:
+        while not done() and (left := end - time.monotonic()) > 0:
+            name = self.rng.choice(self.fleet.names)
+            try:
+                await asyncio.wait_for(self._try(self.fleet.ports[name]), min(left, self.patience))
+            except (TimeoutError, OSError, asyncio.IncompleteReadError) as error:
+                self.story.moved += 1
+                self.story.last = type(error).__name__
+            if not done():
+                await asyncio.sleep(self.rng.uniform(0.05, 0.15))
+
+    async def _try(self, port: int) -> None:
+        s = self.story
+        s.tries += 1
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        try:
+            budget = max(1, round((s.due - SLACK - time.monotonic()) * 1000))
+            writer.write(pg.pack_startup({"user": "u", "decklb.class": s.lane, "decklb.budget": str(budget),
+                                          "decklb.request": s.key}) + pg.pack(b"Q", self.sql.encode() + b"\0"))
+            row, state, begun = "", "", False
+            while True:
+                kind = await reader.readexactly(1)
+                (size,) = struct.unpack(">I", await reader.readexactly(4))
+                body = await reader.readexactly(size - 4)
+                if kind == b"E":
+                    state = pg.read_error(body)["C"]
+                elif kind == b"D":
+                    row = body[6:].decode()
+                elif kind == b"Z":
+                    if begun:
+                        break
+                    begun = True
+        finally:
+            writer.close()
+        if state in COME_BACK:
+            s.last = state
+        else:
+            s.finals.append(("failed", state, time.monotonic()) if state else ("served", row, time.monotonic()))
+            if state:  # which error it was may differ: that time was over, or that the outcome is in doubt
+                s.finals[-1] = ("failed", "", s.finals[-1][2])
+
+
+async def play(fleet: Fleet, seed: int) -> tuple[Verdict, list[Fault]]:
+    """One run on a fleet that is up: faults by seed while requests come, all undone before the end."""
+    s, rng = fleet.setup, random.Random(seed)
+    faults = schedule(seed, fleet.names, s.span, s.faults, s.kinds)
+    start = time.monotonic()
+
+    async def striking() -> None:
+        for fault in faults:
+            await asyncio.sleep(max(0.0, start + fault.at / 1000 - time.monotonic()))
+            await fleet.strike(fault)
+
+    strikes = asyncio.ensure_future(striking())
+    clients: list[asyncio.Task[Story]] = []
+    due = start
+    while (due := due + rng.expovariate(s.rate)) < start + s.span / 1000:
+        await asyncio.sleep(max(0.0, due - time.monotonic()))
+        clients.append(asyncio.ensure_future(Client(fleet, rng, f"s{seed}.{len(clients)}").run()))
+    await strikes
+    stories = await asyncio.gather(*clients)
+    await asyncio.sleep(0.4)  # the longest statement
+    mine = {x.key for x in stories}
+    return judge(stories, [x for x in fleet.witnessed() if x.key in mine], LOAD), faults
+
+
+async def campaign(setup: Setup, seeds: list[int], fleets: int, told: Callable[[int, Verdict, list[Fault]], None],
+                   ) -> tuple[list[Verdict], dict[str, int]]:
+    """Runs of all seeds, divided among fleets side by side; each fleet lives on from run to run."""
+    left = iter(seeds)
+    verdicts: list[Verdict] = []
+    counts = dict.fromkeys(("handoff-taken-over", "handoff-fenced", "handoff-lease-ended", "backstop",
+                            "module-failed", "Traceback"), 0)
+
+    async def one(index: int) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            fleet = Fleet(setup, seeds[0] * 1000 + index, folder, index)
+            try:
+                await fleet.start()
+                for seed in left:
+                    await fleet.remember()
+                    verdict, faults = await play(fleet, seed)
+                    verdicts.append(verdict)
+                    told(seed, verdict, faults)
+                for name in counts:
+                    counts[name] += fleet.logged(name)
+            finally:
+                await fleet.stop()
+
+    await asyncio.gather(*(one(i) for i in range(min(fleets, len(seeds)))))
+    return verdicts, counts
+
+
+def described(faults: list[Fault]) -> list[dict[str, Any]]:
+    """Faults for a report."""
+    return [{"at_ms": round(f.at), "kind": f.kind.value, "target": f.target, "other": f.other} for f in faults]
--- a/decklb/pg/front.py
+++ b/decklb/pg/front.py
@@ -9,7 +9,7 @@
 import struct
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, replace
 from typing import Any
 
 from loguru import logger
@@ -17,8 +17,8 @@
 from twisted.internet.protocol import Protocol, ServerFactory
 from twisted.python.failure import Failure
 
-from decklb.core.dispatcher import EARLY, Dispatcher, Request
-from decklb.core.ports import Timer
+from decklb.core.dispatcher import EARLY, Dispatcher
+from decklb.core.ports import Intake, Timer
 from decklb.interface import Effect
 from decklb.pg import messages as pg
 from decklb.pg.engines import PgWork
@@ -60,7 +60,8 @@
     session: Session
     deadline: float
     done: Callable[[bytes], None]
-    request: Request | None = field(default=None)
+    request: Any = None  # what names it where it was brought
+    once: bool = False  # its client may come back for the answer
 
     def served(self, result: bytes) -> None:
         """An engine's whole answer, which may be its word that the statement is wrong."""
@@ -68,6 +69,9 @@
 
     def refused(self, backoff: float) -> None:
         """It never ran, or may be run again; the hint says when."""
+        if self.once:
+            return self._error(PgError(pg.INSUFFICIENT_RESOURCES, "the statement has no answer here yet",
+                                       f"Ask again under the same decklb.request in {max(1, round(backoff))} ms."))
         self._error(PgError(pg.INSUFFICIENT_RESOURCES, "the engines are too busy for this statement now",
                             f"Come back in {max(1, round(backoff))} ms."))
 
@@ -75,6 +79,11 @@
         """Its time is over, or it may have run and can't be sent again."""
         self._error(PgError(pg.COMPLETION_UNKNOWN, "the engine failed; whether the statement ran is unknown"))
 
+    def conflict(self) -> None:
+        """Its name was given to another statement."""
+        self._error(PgError(pg.INVALID_VALUE, "decklb.request names another statement",
+                            "Give each statement a name of its own."))
+
     def _error(self, error: PgError) -> None:
         if self.session.front.dispatcher.clock.now() >= self.deadline - EARLIEST:
             error = PgError(pg.QUERY_CANCELED, "canceling statement due to statement timeout")
@@ -389,14 +398,21 @@
         if kind.writes and self.front.settings.writes and classes[lane].effect is Effect.SAFE:
             lane = self.front.settings.writes  # what writes must not be repeated as if it read
         text = sql.encode()
+        if p.request and (more.get("simple") or more.get("bind") is not None and more.get("execute", True)):
+            if not self.front.keeps:
+                raise PgError(pg.FEATURE_NOT_SUPPORTED, "decklb.request needs the handoff, which is off here")
+            self.parameters = replace(p, request="")  # it names one statement
+            more["once"] = p.request
         return PgWork(self.front.rid(), lane, p.tenant, p.budget or classes[lane].deadline, text,
                       table_group(text), p.key or None, **more)
 
     def _submit(self, work: PgWork, done: Callable[[bytes], None]) -> None:
-        dispatcher = self.front.dispatcher
         self.taken += 1
-        self.busy = sink = Sink(self, dispatcher.clock.now() + work.budget, done)
-        sink.request = dispatcher.submit(work, sink)
+        self.busy = sink = Sink(self, self.front.dispatcher.clock.now() + work.budget, done, once=bool(work.once))
+        asked = work.once
+        sink.request = self.front.intake.submit(work, sink)
+        if work.once != asked:  # the name that was made for it
+            self._write(pg.pack(b"S", pg.text("decklb.request") + pg.text(work.once)))
 
     def answered(self, tell: Callable[[], None]) -> None:
         """The one final answer has come; the next message may go."""
@@ -436,7 +452,7 @@
         """Somebody asked for the end of what runs: it gets its one answer now, and its work is freed."""
         sink, self.busy = self.busy, None
         if sink is not None and sink.request is not None:
-            self.front.dispatcher.abandon(sink.request)
+            self.front.intake.cancel(sink.request)
             self.answered(lambda: self.error(PgError(
                 pg.QUERY_CANCELED, "canceling statement due to user request")))
 
@@ -481,7 +497,7 @@
         sink, self.busy = self.busy, None
         if sink is not None and sink.request is not None:
             self.abandoned += 1
-            self.front.dispatcher.abandon(sink.request)
+            self.front.intake.abandon(sink.request)
 
     def connectionLost(self, reason: Failure | None = None) -> None:
         """Free what this client waited for."""
@@ -505,6 +521,8 @@
     def __init__(self, dispatcher: Dispatcher, settings: PgSettings, draw: Callable[[int], int],
                  most_clients: int) -> None:
         self.dispatcher, self.settings, self.draw = dispatcher, settings, draw
+        self.intake: Intake = dispatcher
+        self.keeps = False  # whether the intake keeps answers for clients that come back
         self.most_clients = most_clients
         self.sessions: set[Session] = set()
         self.starting: dict[Session, None] = {}  # that have not begun, oldest first
--- a/decklb/pg/settings.py
+++ b/decklb/pg/settings.py
@@ -27,6 +27,7 @@
     lane: str
     budget: float = 0.0
     key: str = ""
+    request: str = ""  # names the next statement, so that its client can come back for the answer
 
     def set(self, name: str, value: str, settings: Settings) -> Parameters:
         """With one changed. Raises PgError for what can't be kept."""
@@ -38,6 +39,8 @@
             return replace(self, budget=min(LONGEST_BUDGET, float(m[1]) * _UNITS[m[2]]))
         if name == PREFIX + "key" and len(value) <= 200:
             return replace(self, key=value)
+        if name == PREFIX + "request" and len(value) <= 200:
+            return replace(self, request=value)
         if name.startswith(PREFIX) or name == "statement_timeout":
             raise PgError(INVALID_VALUE, f"invalid value for parameter {name!r}: {value!r}")
         same = {k.lower(): v.lower() for k, v in REPORTED.items()}
@@ -49,7 +52,8 @@
 
     def show(self, name: str) -> str:
         """The value of one of ours."""
-        values = {"tenant": self.tenant, "class": self.lane, "budget": f"{self.budget:g}", "key": self.key}
+        values = {"tenant": self.tenant, "class": self.lane, "budget": f"{self.budget:g}", "key": self.key,
+                  "request": self.request}
         if name.removeprefix(PREFIX) not in values:
             raise PgError("42704", f"unrecognized configuration parameter {name!r}")
         return values[name.removeprefix(PREFIX)]
--- /dev/null
+++ b/tests/test_handoff_program.py
@@ -0,0 +1,213 @@
+"""Real managers that take over one another's work: named cases, then seeded faults between processes."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import tempfile
+import time
+import unittest
+
+import psycopg
+
+from decklb.daemon.control import ask
+from decklb.lab.faults import Kind, Link
+from decklb.lab.outage import COME_BACK, Fleet, Setup, campaign
+from tests.standins import wait_for
+
+SETUP = Setup()
+
+
+class Session:
+    """A stock client of one manager."""
+
+    def __init__(self, fleet, name, lane, key):
+        self.link = psycopg.connect(host="127.0.0.1", port=fleet.ports[name], user="u", autocommit=True,
+                                    options=f"-c decklb.class={lane} -c decklb.request={key}")
+
+    def run(self, sql):
+        """The row; None where the client is to come back, and the text of any other error."""
+        try:
+            return self.link.execute(sql).fetchone()[0]
+        except psycopg.errors.Error as error:
+            state = error.sqlstate or "08006"
+            return None if state in COME_BACK else f"{state} {error}"
+        finally:
+            self.link.close()
+
+
+def final(fleet, name, lane, key, sql):
+    """What a client gets that asks one manager until it has a final answer."""
+    end = time.monotonic() + 20.0
+    while time.monotonic() < end:
+        row = Session(fleet, name, lane, key).run(sql)
+        if row is not None:
+            return row
+        time.sleep(0.05)
+    raise AssertionError(f"no final answer for {key} at {name}")
+
+
+class Cases(unittest.TestCase):
+    """One fleet for all named cases: each leaves it whole."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.runner = asyncio.Runner()
+        cls.folder = tempfile.TemporaryDirectory()
+        cls.fleet = Fleet(SETUP, 3, cls.folder.name, index=40)
+        cls.addClassCleanup(cls.folder.cleanup)
+        cls.addClassCleanup(cls.runner.close)
+        cls.addClassCleanup(lambda: cls.runner.run(cls.fleet.stop()))
+        cls.runner.run(cls.fleet.start())
+        cls.runner.run(cls.fleet.remember())
+
+    def during(self, blocking, *calls):
+        """A blocking client in a thread, while the rig's loop runs and faults strike."""
+        async def run():
+            task = asyncio.ensure_future(asyncio.to_thread(blocking))
+            for call in calls:
+                await asyncio.sleep(0.15)
+                await call()
+            return await task
+        return self.runner.run(run())
+
+    def client(self, call, *args):
+        return self.during(lambda: call(self.fleet, *args))
+
+    async def _kill(self, name):
+        await self.fleet.managers[name].kill()
+
+    def runs(self, key, what="start"):
+        return [x for x in self.fleet.witnessed() if x.key == key and x.what == what]
+
+    def test_a_killed_managers_read_is_run_again_once_and_its_load_ends_in_doubt(self):
+        async def restart():
+            await self.fleet.up("m0")
+
+        for lane, key in (("read", "killed.read"), ("load", "killed.load")):
+            sql = f"select 1 -- run={key} work=700"
+            first = self.during(lambda x=lane, k=key, s=sql: Session(self.fleet, "m0", x, k).run(s),
+                                lambda: self._kill("m0"))
+            self.assertIsNone(first)  # the connection broke: no final answer
+            answers = {self.client(final, name, lane, key, sql) for name in ("m1", "m2")}
+            self.assertEqual(len(answers), 1)
+            if lane == "read":
+                self.assertTrue(answers.pop().startswith("killed.read/"))
+                self.assertEqual(len(self.runs(key)), 2)
+            else:
+                self.assertIn("40003", answers.pop())
+                self.assertEqual(len(self.runs(key)), 1)
+            self.runner.run(restart())
+            self.runner.run(self.fleet.remember())
+
+    def test_a_client_that_comes_back_elsewhere_gets_the_same_row_and_nothing_runs_again(self):
+        sql = "select 1 -- run=again work=20"
+        rows = {self.client(final, name, "load", "again", sql) for name in ("m1", "m0", "m2", "m1")}
+        self.assertEqual((len(rows), len(self.runs("again"))), (1, 1))
+
+    def test_a_key_given_to_another_statement_is_refused_by_name(self):
+        self.client(final, "m0", "read", "mine", "select 1 -- run=mine work=5")
+        for name in ("m0", "m1", "m2"):
+            said = self.client(final, name, "read", "mine", "select 2 -- run=other work=5")
+            self.assertIn("22023", said)
+            self.assertIn("names another statement", said)
+        self.assertEqual(self.runs("other"), [])
+
+    def test_a_key_that_the_manager_makes_is_told_and_serves_elsewhere(self):
+        def make():
+            with psycopg.connect(host="127.0.0.1", port=self.fleet.ports["m0"], user="u", autocommit=True,
+                                 options="-c decklb.class=load -c decklb.request=auto") as link:
+                row = link.execute("select 1 -- run=made work=5").fetchone()[0]
+                return row, link.pgconn.parameter_status(b"decklb.request").decode()
+        row, key = self.during(make)
+        self.assertTrue(key.startswith("m0."))
+        self.assertEqual(self.client(final, "m1", "load", key, "select 1 -- run=made work=5"), row)
+        self.assertEqual(len(self.runs("made")), 1)
+
+    def test_a_manager_that_was_cut_off_stops_and_cannot_finish_what_was_taken_over(self):
+        sql = "select 1 -- run=parted work=1200"
+
+        async def cut():
+            self.fleet.rig.partition("m0")
+        cut_off = self.during(lambda: Session(self.fleet, "m0", "read", "parted").run(sql), cut)
+        self.assertIsNone(cut_off)  # it still has its client and its engine, and yet gives no answer
+        row = self.client(final, "m1", "read", "parted", sql)
+        self.fleet.rig.heal()
+        self.assertEqual(self.client(final, "m0", "read", "parted", sql), row)
+        first, second = self.runs("parted")
+        self.assertNotEqual(first.manager, second.manager)
+        called_off = [x for x in self.runs("parted", "cancelled") if x.run == first.run and x.engine == first.engine]
+        self.assertTrue(called_off and called_off[0].at < second.at)
+
+    def test_a_stopped_manager_that_goes_on_learns_that_another_has_its_work(self):
+        sql = "select 1 -- run=stopped work=400"
+
+        async def stop():
+            self.fleet.managers["m2"].signal(signal.SIGSTOP)
+        task = []
+
+        def late():
+            task.append(Session(self.fleet, "m2", "read", "stopped").run(sql))
+
+        async def others():
+            row = await asyncio.to_thread(final, self.fleet, "m1", "read", "stopped", sql)
+            self.fleet.managers["m2"].signal(signal.SIGCONT)
+            return row
+
+        async def run():
+            first = asyncio.ensure_future(asyncio.to_thread(late))
+            await asyncio.sleep(0.15)
+            await stop()
+            row = await others()
+            await first
+            return row
+        row = self.runner.run(run())
+        self.assertIn(task[0], (None, row))  # its own run has an answer too, which it may not give
+        self.assertEqual(self.client(final, "m2", "read", "stopped", sql), row)
+        a, b = sorted(x.at for x in self.runs("stopped", "end"))
+        self.assertGreater(self.runs("stopped")[1].at, a)
+        self.assertGreater(b, a)
+
+    def test_a_manager_that_drains_leaves_its_answers_behind(self):
+        sql = "select 1 -- run=drained work=5"
+        row = self.client(final, "m0", "load", "drained", sql)
+
+        async def drain():
+            self.fleet.managers["m0"].signal(signal.SIGTERM)
+            await self.fleet.managers["m0"].child.wait()
+        self.runner.run(drain())
+        self.assertEqual(self.fleet.managers["m0"].child.returncode, 0)
+        self.assertEqual(self.client(final, "m1", "load", "drained", sql), row)
+        self.assertEqual(len(self.runs("drained")), 1)
+        self.runner.run(self.fleet.up("m0"))
+        self.runner.run(self.fleet.remember())
+
+    def test_losses_between_managers_delay_and_double_nothing(self):
+        for a in self.fleet.names:
+            for b in self.fleet.names:
+                if a != b:
+                    self.fleet.rig.set(a, b, Link(drop=0.05, duplicate=0.2, delay=2.0, jitter=20.0))
+        try:
+            for i in range(6):
+                key = f"lossy.{i}"
+                sql = f"select 1 -- run={key} work=20"
+                rows = {self.client(final, n, "load", key, sql) for n in self.fleet.names}
+                self.assertEqual((len(rows), len(self.runs(key))), (1, 1), key)
+        finally:
+            self.fleet.rig.heal()
+        socket = str(self.fleet.folder / "m1.sock")
+        self.during(lambda: wait_for(lambda: ask(socket, "handoff")["links"] == 2, "connections made again"))
+
+
+class Seeded(unittest.TestCase):
+    def test_a_dozen_seeds_of_kills_stops_cuts_and_losses_lose_and_double_nothing(self):
+        shown = []
+        verdicts, counts = asyncio.run(campaign(
+            Setup(span=3000.0, rate=20.0), list(range(12)), 3, lambda seed, v, faults: shown.append((seed, v, faults))))
+        for seed, v, faults in shown:
+            self.assertEqual((v.lost, v.doubled, v.repeated, v.overlapping), ([], [], [], []), (seed, faults))
+        self.assertEqual(len(verdicts), 12)
+        self.assertGreaterEqual(len({f.kind for _, _, faults in shown for f in faults} & {
+            Kind.KILL, Kind.STOP, Kind.PARTITION, Kind.CUT, Kind.LOSSY}), 4)
+        self.assertGreater(counts["handoff-taken-over"], 0)
+        self.assertEqual((counts["backstop"], counts["module-failed"], counts["Traceback"]), (0, 0, 0))
