Take whoever answers our beats for alive, and let wall clocks jump in the fault runs

Seen: with a member's wall clock an hour ahead, or a minute behind, its datagrams fall to the window against replays on both sides, so each side holds the other dead while their connection still carries words. Ruled out: the handoff's own times, which are monotonic. To blame: Keeper._lives asked membership alone.

--- a/decklb/cli/lab.py
+++ b/decklb/cli/lab.py
@@ -180,7 +180,8 @@
 @click.option("--rate", default=25.0, show_default=True, type=click.FloatRange(0.1, 200), help="Requests a second.")
 @click.option("--seconds", default=5.0, show_default=True, type=click.FloatRange(1, 60), help="Length of a run.")
 @click.option("--faults", "strikes", default=1, show_default=True, type=click.IntRange(0, 20), help="In each run.")
-@click.option("--only", multiple=True, type=click.Choice(["kill", "stop", "partition", "cut", "lossy"]),
+@click.option("--only", multiple=True,
+              type=click.Choice(["kill", "stop", "partition", "cut", "lossy", "ahead", "behind"]),
               help="Kinds of faults; all by default.")
 @click.option("--json", "as_json", is_flag=True, help="One JSON object: the sum, and each run that was not clean.")
 def faults(managers: int, count: int, runs: int, seed: int, fleets: int, rate: float, seconds: float, strikes: int,
@@ -222,6 +223,23 @@
         raise SystemExit(1)
 
 
+@lab.command()
+@click.option("--managers", default=3, show_default=True, type=click.IntRange(3, 9))
+@click.option("--requests", default=2000, show_default=True, type=click.IntRange(10, 100_000), help="Of each kind.")
+@click.option("--at-once", default=4, show_default=True, type=click.IntRange(1, 64), help="Sessions side by side.")
+@click.option("--seed", default=1, show_default=True)
+def copies(managers: int, requests: int, at_once: int, seed: int) -> None:
+    """What protecting a statement costs: time to its answer with a key and without, between real processes."""
+    import asyncio
+
+    from decklb.lab import outage
+
+    log.set_up("ERROR", "text")
+    found = asyncio.run(outage.cost(outage.Setup(managers), requests, at_once, seed))
+    for kind, figures in found.items():
+        click.echo(f"{kind:8} a key: " + "  ".join(f"{name} {value}" for name, value in figures.items()))
+
+
 @lab.command()
 @click.argument("path")
 @click.option("--target", "where", required=True, help="HOST:PORT on loopback.")
--- a/decklb/handoff/fencing.py
+++ b/decklb/handoff/fencing.py
@@ -44,6 +44,10 @@
         """It lost its memory: what it acknowledged before counts no more."""
         self._heard.pop(voter, None)
 
+    def heard(self, voter: str, now: float) -> bool:
+        """Whether it acknowledged something within a lease."""
+        return now - self._heard.get(voter, -float("inf")) < self.settings.lease
+
     def holds(self, record: Record, now: float, mine: Promises, unfit: Collection[str] = (),
               early: float = 0.0) -> bool:
         """True while this member may act on the record, and for `early` ms more. It counts itself only while its own
--- a/decklb/handoff/keeper.py
+++ b/decklb/handoff/keeper.py
@@ -97,9 +97,10 @@
         self.notices: list[Notice] = []
         self.counts: Counter[str] = Counter()
         self.holds: dict[str, Hold] = {}
-        self.alive: dict[str, int] = {me: run}
+        self.alive: dict[str, int] = {me: run}  # as membership has it
+        self.view: dict[str, int] = {me: run}  # the same, with those that answer our own beats
         self.known: set[str] = {me}
-        self.links: dict[str, int] = {}  # peers linked now, with what they remember
+        self.links: dict[str, int] = {}  # peers linked now, with the run of each
         self._memories: dict[str, int] = {}  # the same of those linked before
         self._open: dict[str, None] = {}  # keys of which a linked voter lacks the newest version
         self._claims: dict[str, Claiming] = {}
@@ -177,11 +178,17 @@
             if len(self.known) > self.s.members:
                 self.known.discard(name)
         self.placement.set_members(self.known)
-        if dict(alive) != self.alive:
-            self.alive = dict(alive)
-            self._hasty = True
+        self.alive = dict(alive)
+        self._look_round(now)
 
-    def linked(self, now: float, peer: str, memory: int) -> None:
+    def _look_round(self, now: float) -> None:
+        """Whoever answers our beats lives, whatever membership says: clocks that jump, or lost datagrams, part members
+        that can still talk."""
+        view = self.alive | {p: run for p, run in self.links.items() if self.lease.heard(p, now)}
+        if view != self.view:
+            self.view, self._hasty = view, True
+
+    def linked(self, now: float, peer: str, memory: int, run: int) -> None:
         """A connection to a member, on which all words pass in order."""
         if self._memories.get(peer, memory) != memory:
             # It has forgotten what it acknowledged, and may have granted a claim before: its votes are void.
@@ -189,7 +196,7 @@
             for hold in self.holds.values():
                 if peer in hold.record.voters:
                     hold.unfit.add(peer)
-        self.links[peer] = self._memories[peer] = memory
+        self.links[peer], self._memories[peer] = run, memory
         for key, (owner, term) in self._passed.items():
             if owner == peer:
                 self.out.append((peer, m.Fenced(key, term)))
@@ -245,6 +252,7 @@
         if now - self._beat >= self.s.beat:
             self._beat = now
             self.out += [(peer, m.Beat(now)) for peer in self.links]
+        self._look_round(now)
         for key in list(self._open):
             if (hold := self.holds.get(key)) is not None:
                 self._resend(now, hold)
@@ -469,7 +477,7 @@
         done(Taken("done", r.outcome if r.kept else Outcome.FAILED, r.answer, r.reason))
 
     def _ask(self, now: float, owner: str, key: str, digest: str, done: Callable[[Taken], None]) -> None:
-        if owner not in self.links or owner not in self.alive:
+        if owner not in self.links or owner not in self.view:
             return done(Taken("running", reason="holder-lost"))
         self._n += 1
         self._asks[self._n] = (now + self.s.patience, done)
@@ -509,7 +517,7 @@
         return remembers >= self.s.life or made and remembers > age * (1 + self.s.drift)
 
     def _lives(self, record: Record) -> bool:
-        return self.alive.get(record.owner) == record.run
+        return self.view.get(record.owner) == record.run
 
     def _on_copy(self, now: float, peer: str, c: m.Copy) -> None:
         r = c.record
@@ -574,7 +582,7 @@
             key = record.key
             if key in self.holds or key in self._claims:
                 continue
-            at = turn(record, self.me, self.alive)
+            at = turn(record, self.me, self.view)
             if at is None:
                 self._orphans.pop(key, None)
             elif key not in self._orphans:
--- a/decklb/handoff/runtime.py
+++ b/decklb/handoff/runtime.py
@@ -225,7 +225,7 @@
             before.end("replaced")
         self.peers[link.peer] = link
         self.dials.pop(link.peer, None)
-        self.keeper.linked(self.clock.now(), link.peer, link.hello.memory)
+        self.keeper.linked(self.clock.now(), link.peer, link.hello.memory, link.hello.run)
         self.pump()
         return True
 
--- a/decklb/lab/faults.py
+++ b/decklb/lab/faults.py
@@ -41,6 +41,9 @@
     STOP = "stop"  # SIGSTOP: a slow peer, until CONT
     CONT = "cont"
     RESTART = "restart"  # started again, after a kill
+    AHEAD = "ahead"  # its wall clock jumps an hour ahead
+    BEHIND = "behind"  # or a minute behind
+    CLOCK = "clock"  # and back
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +55,7 @@
 
 
 STRIKES = (Kind.CUT, Kind.PARTITION, Kind.LOSSY, Kind.KILL, Kind.STOP)
+UNDO = {Kind.KILL: Kind.RESTART, Kind.STOP: Kind.CONT, Kind.AHEAD: Kind.CLOCK, Kind.BEHIND: Kind.CLOCK}
 
 
 def schedule(seed: int, members: list[str], span: float, count: int,
@@ -69,6 +73,5 @@
         a, b = rng.sample(members, 2)
         kind = rng.choice(kinds)
         faults.append(Fault(start, kind, a, b if kind in (Kind.CUT, Kind.LOSSY) else ""))
-        undo = {Kind.KILL: Kind.RESTART, Kind.STOP: Kind.CONT}.get(kind, Kind.HEAL)
-        faults.append(Fault(end, undo, a))
+        faults.append(Fault(end, UNDO.get(kind, Kind.HEAL), a))
     return faults
--- a/decklb/lab/handoff.py
+++ b/decklb/lab/handoff.py
@@ -227,7 +227,7 @@
                     and (self.name, name) not in w.cut:
                 for a, b in ((self, node), (node, self)):
                     a.peers[b.name] = w.now
-                    a.keeper.linked(a.clock(), b.name, b.run)
+                    a.keeper.linked(a.clock(), b.name, b.run, b.run)
                     a.pump()
         self.pump()
 
--- a/decklb/lab/outage.py
+++ b/decklb/lab/outage.py
@@ -31,7 +31,9 @@
 START = 20.0  # seconds for a process to come up
 COME_BACK = ("53000", "53300", "57P01", "57P03", "08006")  # answers after which a client asks again
 SLACK = 0.5  # seconds past its deadline in which an answer still counts
-KINDS = (Kind.KILL, Kind.STOP, Kind.PARTITION, Kind.CUT, Kind.LOSSY)
+KINDS = (Kind.KILL, Kind.STOP, Kind.PARTITION, Kind.CUT, Kind.LOSSY, Kind.AHEAD, Kind.BEHIND)
+SIGNALS = {Kind.STOP: signal.SIGSTOP, Kind.CONT: signal.SIGCONT, Kind.AHEAD: signal.SIGUSR1,
+           Kind.BEHIND: signal.SIGUSR2, Kind.CLOCK: signal.SIGWINCH}
 
 SETTINGS = """<decklb version="1">
   <process name="{name}" listen="127.0.0.1:0" sockets="512"/>
@@ -162,7 +164,7 @@
         if name in self.managers:
             self.spoken += self.managers[name].lines
         p = self.managers[name] = Process(name)
-        await p.start("decklb", "serve", "--settings", str(path))
+        await p.start("decklb.lab.jumpy", "serve", "--settings", str(path))
         self.ports[name] = int((await p.says(r"listens on [\d.]+:(\d+)"))[1])
         self.since[name] = time.monotonic()
 
@@ -178,10 +180,6 @@
                 await manager.kill()
             case Kind.RESTART:
                 await self.up(fault.target)
-            case Kind.STOP:
-                manager.signal(signal.SIGSTOP)
-            case Kind.CONT:
-                manager.signal(signal.SIGCONT)
             case Kind.PARTITION:
                 rig.partition(fault.target)
             case Kind.CUT:
@@ -191,6 +189,8 @@
                     rig.set(a, b, Link(drop=0.15, duplicate=0.1, delay=5.0, jitter=40.0))
             case Kind.HEAL:
                 rig.heal()
+            case kind:
+                manager.signal(SIGNALS[kind])
 
     def witnessed(self) -> list[Line]:
         """What the engines wrote down so far."""
@@ -336,3 +336,48 @@
 def described(faults: list[Fault]) -> list[dict[str, Any]]:
     """Faults for a report."""
     return [{"at_ms": round(f.at), "kind": f.kind.value, "target": f.target, "other": f.other} for f in faults]
+
+
+async def cost(setup: Setup, requests: int, at_once: int, seed: int) -> dict[str, dict[str, float]]:
+    """What it costs to protect a statement: ms from sending to the whole answer, with a key and without, in turns on
+    the same sessions of a fleet without faults. The engines' own part is next to nothing."""
+    rng = random.Random(seed)
+    took: dict[str, list[float]] = {"without": [], "with": []}
+
+    async def session(fleet: Fleet, number: int) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", fleet.ports[rng.choice(fleet.names)])
+        writer.write(pg.pack_startup({"user": "u", "decklb.class": LOAD}))
+        await _answers(reader, 1)
+        for i in range(requests // at_once):
+            for kind, sets in (("without", "set decklb.key = ''"), ("with", f"set decklb.request = 'c{number}.{i}'")):
+                sql = f"select 1 -- run=c{number}.{i}.{kind} work=0"
+                start = time.monotonic()
+                writer.write(pg.pack(b"Q", sets.encode() + b"\0") + pg.pack(b"Q", sql.encode() + b"\0"))
+                if errors := await _answers(reader, 2):
+                    raise RuntimeError(f"a statement {kind} a key failed: {errors}")
+                took[kind].append(1000 * (time.monotonic() - start))
+        writer.close()
+
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Fleet(setup, seed, folder)
+        try:
+            await fleet.start()
+            await fleet.remember()
+            await asyncio.gather(*(session(fleet, i) for i in range(at_once)))
+        finally:
+            await fleet.stop()
+    return {kind: {"requests": len(ms)} | {f"p{p}_ms": round(sorted(ms)[min(len(ms) - 1, len(ms) * p // 100)], 2)
+                                           for p in (50, 90, 99)} for kind, ms in took.items()}
+
+
+async def _answers(reader: asyncio.StreamReader, count: int) -> list[str]:
+    """Read up to the end of so many answers; the states of errors among them."""
+    errors = []
+    while count:
+        kind = await reader.readexactly(1)
+        (size,) = struct.unpack(">I", await reader.readexactly(4))
+        body = await reader.readexactly(size - 4)
+        if kind == b"E":
+            errors.append(pg.read_error(body)["C"])
+        count -= kind == b"Z"
+    return errors
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -29,7 +29,7 @@
     first = schedule(11, members, 10_000.0, 6)
     assert first == schedule(11, members, 10_000.0, 6) != schedule(12, members, 10_000.0, 6)
     assert len(first) == 12 and all(0 <= f.at <= 10_000.0 for f in first)
-    undo = {Kind.KILL: Kind.RESTART, Kind.STOP: Kind.CONT}
+    undo = {Kind.KILL: Kind.RESTART, Kind.STOP: Kind.CONT, Kind.AHEAD: Kind.CLOCK, Kind.BEHIND: Kind.CLOCK}
     for strike, end in zip(first[::2], first[1::2], strict=True):
         assert strike.at < end.at and end.kind is undo.get(strike.kind, Kind.HEAL) and end.target == strike.target
     assert [f.at for f in first] == sorted(f.at for f in first)
