Use the handoff in the middleware, and keep records on disk through a restart

Middleware: WorkloadMiddleware(fleet=Members(settings, name)) makes a process of an application a member; Twisted's parts run on the application's own loop. Seen on the way: a request taken over had its response not written down, since a decoded request lacked its name; Guard.adopt gives it back.

Store: <handoff data> keeps records and votes in LMDB, written before any word that rests on them leaves.

--- a/decklb/cli/lab.py
+++ b/decklb/cli/lab.py
@@ -183,9 +183,10 @@
 @click.option("--only", multiple=True,
               type=click.Choice(["kill", "stop", "partition", "cut", "lossy", "ahead", "behind"]),
               help="Kinds of faults; all by default.")
+@click.option("--data", is_flag=True, help="Managers keep their records on disk.")
 @click.option("--json", "as_json", is_flag=True, help="One JSON object: the sum, and each run that was not clean.")
 def faults(managers: int, count: int, runs: int, seed: int, fleets: int, rate: float, seconds: float, strikes: int,
-           only: tuple[str, ...], as_json: bool) -> None:
+           only: tuple[str, ...], data: bool, as_json: bool) -> None:
     """Managers as processes that take over one another's work, under faults by seed; loopback only, ends by itself."""
     import asyncio
 
@@ -197,7 +198,7 @@
 
     log.set_up("ERROR", "text")
     setup = outage.Setup(managers, count, rate, 1000.0 * seconds, strikes,
-                         kinds=tuple(Kind(x) for x in only) or outage.KINDS)
+                         kinds=tuple(Kind(x) for x in only) or outage.KINDS, data=data)
     unclean: list[dict[str, Any]] = []
 
     def told(number: int, v: Verdict, struck: list[Fault]) -> None:
@@ -240,6 +241,19 @@
         click.echo(f"{kind:8} a key: " + "  ".join(f"{name} {value}" for name, value in figures.items()))
 
 
+@lab.command()
+@click.option("--writes", default=5000, show_default=True, type=click.IntRange(100, 1_000_000))
+@click.option("--keys", default=4, show_default=True, type=click.IntRange(1, 1000), help="In one write.")
+@click.option("--size", default=600, show_default=True, type=click.IntRange(1, 1 << 20), help="Bytes of a record.")
+@click.option("--seed", default=1, show_default=True)
+def stores(writes: int, keys: int, size: int, seed: int) -> None:
+    """Embedded stores for the handoff's records: what one write costs, with syncs and without."""
+    from decklb.lab.stores import measure
+
+    for row in measure(writes, keys, size, seed):
+        click.echo("  ".join(f"{name} {value}" for name, value in row.items()))
+
+
 @lab.command()
 @click.argument("path")
 @click.option("--target", "where", required=True, help="HOST:PORT on loopback.")
--- a/decklb/config/operators.py
+++ b/decklb/config/operators.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -89,6 +90,17 @@
     return config
 
 
+def members(path: str, member: str) -> tuple[ClusterSettings, HandoffSettings]:
+    """Only the <cluster> and <handoff> of a file, for an application whose processes are members. `member` names this
+    one. Raises SettingsError."""
+    book = Translation(path, read(path))
+    cluster, handoff = book.cluster(member), book.handoff(front="")
+    book.settle()
+    if cluster is None or handoff is None:
+        raise SettingsError([Fault(path, 0, "a member of a fleet needs <cluster> and <handoff>; give both")])
+    return replace(cluster, member=member), handoff
+
+
 class Translation:
     """One file on its way into settings; gathers faults."""
 
@@ -276,15 +288,17 @@
         return ClusterSettings(element.get("member", name), bind, self._path(element.attrib["keys"]), seeds,
                                membership, duty, advertise)
 
-    def handoff(self) -> HandoffSettings | None:
-        """The `handoff` element: what it needs beside it, and whether its figures go together."""
+    def handoff(self, front: str = "postgres") -> HandoffSettings | None:
+        """The `handoff` element: what it needs beside it, and whether its figures go together. `front` names the
+        element of the front whose requests it copies; "" for an application's own."""
         element = self.root.find("handoff")
         if element is None:
             return None
-        for other in ("cluster", "postgres"):
-            if self.root.find(other) is None:
+        for other in ("cluster", front):
+            if other and self.root.find(other) is None:
                 self.fault(element, f"<handoff> needs <{other}>: it copies statements of that front between members")
-        made: HandoffSettings | None = self.check(element, lambda: HandoffSettings(**_taken(element, HANDOFF)))
+        more = {"data": self._path(element.attrib["data"])} if "data" in element.attrib else {}
+        made: HandoffSettings | None = self.check(element, lambda: HandoffSettings(**_taken(element, HANDOFF) | more))
         cluster = self.root.find("cluster")
         if made is not None and cluster is not None and "lately" in cluster.attrib \
                 and duration(cluster.attrib["lately"]) < made.life:
--- a/decklb/daemon/assembly.py
+++ b/decklb/daemon/assembly.py
@@ -90,6 +90,7 @@
     """What takes over work in hand, where there is a section for it; it stands between front and dispatcher."""
     if config.handoff is None or member is None:
         return None
+    from decklb.handoff.errors import HandoffError
     from decklb.handoff.guard import Guard
     from decklb.handoff.runtime import HandoffService
     from decklb.pg.codec import PgCodec
@@ -99,4 +100,7 @@
     assert isinstance(front, PgFront)  # the settings are refused without that front
     guard = Guard(parts.dispatcher, clock, PgCodec(front.rid), config.cluster.member if config.cluster else "")
     front.intake, front.keeps = guard, True
-    return HandoffService(reactor, clock, config.handoff, member, guard)
+    try:
+        return HandoffService(reactor, clock, config.handoff, member, guard)
+    except HandoffError as error:
+        raise ConfigError(f"<handoff>: {error}") from error
--- a/decklb/handoff/fencing.py
+++ b/decklb/handoff/fencing.py
@@ -64,7 +64,9 @@
 class Promises:
     """A voter's side: the highest ballot granted for each key."""
 
-    def __init__(self) -> None:
+    def __init__(self, touched: dict[str, None]) -> None:
+        """`touched` gathers the keys of which something changed."""
+        self.touched = touched
         self._granted: dict[str, Ballot] = {}
 
     def grant(self, key: str, ballot: Ballot) -> bool:
@@ -72,6 +74,7 @@
         if ballot <= self._granted.get(key, (-1, "")):
             return False
         self._granted[key] = ballot
+        self.touched[key] = None
         return True
 
     def admits(self, record: Record) -> bool:
@@ -86,8 +89,13 @@
     def above(self, key: str, term: int) -> None:
         """From now on only what is above this term: a record of it was let go, and stale copies may be about."""
         self._granted[key] = max((term, ""), self._granted.get(key, (-1, "")))
+        self.touched[key] = None
+
+    def granted(self, key: str) -> Ballot | None:
+        return self._granted.get(key)
 
     def drop(self, key: str) -> None:
+        self.touched[key] = None
         self._granted.pop(key, None)
 
 
--- a/decklb/handoff/guard.py
+++ b/decklb/handoff/guard.py
@@ -192,8 +192,9 @@
         if record.key not in self.keeper.holds:
             return
         now = self.clock.now()
-        p = Protected(self, record.key, None)
-        self._run(p, self.codec.decode(body, max(1.0, record.deadline - now)))
+        work = self.codec.decode(body, max(1.0, record.deadline - now))
+        work.once = record.key
+        self._run(Protected(self, record.key, None), work)
 
     def stop(self, key: str) -> None:
         """This member may not act on it now: what is out is called off, and its client asks again."""
--- a/decklb/handoff/keeper.py
+++ b/decklb/handoff/keeper.py
@@ -112,6 +112,7 @@
         self._n = 0
         self._beat = self._reviewed = now
         self._hasty = False  # the members have changed since the last review
+        self.closed = False
 
     # What a front calls.
 
@@ -124,8 +125,8 @@
             return done(Taken("reused"))
         if found.known:
             return self._known(now, key, record.digest, done)
-        if len(self.known) < self.s.members:
-            return self._turn_away(done, "members-unknown")
+        if self.closed or len(self.known) < self.s.members:
+            return self._turn_away(done, "closed" if self.closed else "members-unknown")
         voters = self.placement.voters(key, self.s.copies)
         record = replace(record, owner=self.me, run=self.run, term=self.table.promises.term(key) + 1, version=0,
                          voters=voters)
@@ -144,7 +145,7 @@
     def sending(self, now: float, key: str, engine: str, call: Call) -> None:
         """An attempt is to go to an engine; `call` is told whether it may, once a quorum knows of it."""
         hold = self.holds.get(key)
-        if hold is None or hold.stalled:
+        if hold is None or hold.stalled or self.closed:
             return call(False)
         self._write(now, hold, hold.record.sent(engine))
         self._wait(now, hold, lambda ok: self._may_send(now, hold, ok, call))
@@ -158,7 +159,7 @@
     def answered(self, now: float, key: str, outcome: Outcome, answer: bytes, reason: str, call: Call) -> None:
         """The final answer is known; `call` is told whether it may be given: once a quorum has it."""
         hold = self.holds.get(key)
-        if hold is None or hold.record.stage >= Stage.ANSWERED:
+        if hold is None or hold.record.stage >= Stage.ANSWERED or self.closed:
             return call(False)
         self._write(now, hold, hold.record.answered(outcome, answer, self.s.answer_bytes, reason))
         self._wait(now, hold, call)
@@ -168,6 +169,15 @@
         if (hold := self.holds.get(key)) is not None:
             self._let_go(hold)
 
+    def close(self) -> None:
+        """Nothing is taken or answered here from now on; whoever waits is told to ask elsewhere."""
+        self.closed = True
+        for hold in list(self.holds.values()):
+            if (done := hold.admit) is not None:
+                hold.admit, hold.waits = None, []
+                self._turn_away(done, "closed")
+            self._stop(hold)
+
     # What the runtime calls.
 
     def members(self, now: float, alive: Mapping[str, int], known: Collection[str]) -> None:
--- a/decklb/handoff/runtime.py
+++ b/decklb/handoff/runtime.py
@@ -9,7 +9,7 @@
 import os
 import random
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from loguru import logger
 from twisted.internet.endpoints import TCP4ClientEndpoint
@@ -27,6 +27,9 @@
 from decklb.handoff.keeper import Hooks, Keeper
 from decklb.handoff.settings import HandoffSettings
 
+if TYPE_CHECKING:
+    from decklb.handoff.store import Store
+
 TICK = 25.0  # ms
 CONNECT = 1000.0  # ms for a connection to come up
 DIAL = (100.0, 2000.0)  # ms before another try at a member, doubled from the first to the second
@@ -145,9 +148,19 @@
     def __init__(self, reactor: Any, clock: Clock, settings: HandoffSettings, cluster: ClusterService,
                  guard: Guard) -> None:
         self.reactor, self.clock, self.settings, self.cluster, self.guard = reactor, clock, settings, cluster, guard
-        me = cluster.node.membership.me
-        self.keeper = Keeper(settings, me.name, me.boot, me.boot, 0.0, random.Random(os.urandom(16)), clock.now(),
+        me, now = cluster.node.membership.me, clock.now()
+        self.store: Store | None = None
+        memory, born, kept = me.boot, now, list[Any]()
+        if settings.data:
+            from decklb.handoff.store import Store, boot_id
+
+            self.store = Store(settings.data, settings.room)
+            memory, born, kept = self.store.open(me.name, me.boot, now, boot_id())
+        self.keeper = Keeper(settings, me.name, me.boot, memory, now - born, random.Random(os.urandom(16)), now,
                              Hooks(guard.adopt, guard.stop))
+        for k in kept:
+            self.keeper.table.restore(k.key, k.record, k.body, k.granted, now)
+        self.kept = len(kept)
         guard.keeper, guard.pump = self.keeper, self.pump
         self.sealer = self._sealer()
         self.links: set[Link] = set()
@@ -167,8 +180,9 @@
         """Open the socket. Raises what Twisted raises when the address can't be had."""
         host, port = self.cluster.settings.bind
         self.port = self.reactor.listenTCP(port, Door(self), interface=host)
-        logger.info("handoff on {host}:{port}, {copies} voters a key, {members} members", event="handoff-listening",
-                    host=host, port=port, copies=self.settings.copies, members=self.settings.members)
+        logger.info("handoff on {host}:{port}, {copies} voters a key, {members} members, {kept} keys kept on disk",
+                    event="handoff-listening", host=host, port=port, copies=self.settings.copies,
+                    members=self.settings.members, kept=self.kept)
         self._tick()
 
     def reload(self) -> None:
@@ -252,6 +266,8 @@
         keeper = self.keeper
         while keeper.out or keeper.notices:
             out, keeper.out = keeper.out, []
+            if not self._written():
+                break
             words: dict[str, list[bytes]] = {}
             for peer, message in out:
                 if peer in self.peers:
@@ -265,6 +281,28 @@
                             text=text, **notice.fields)
         self.pumping = False
 
+    def _written(self) -> bool:
+        """What changed is on disk, so that words that rest on it may leave."""
+        touched, table = self.keeper.table.touched, self.keeper.table
+        if self.store is not None and touched:
+            from decklb.handoff.store import Kept, StoreError
+
+            changes = {}
+            for key in touched:
+                record, granted = table.get(key), table.promises.granted(key)
+                changes[key] = Kept(key, record, table.body(key), granted) if record or granted else None
+            try:
+                self.store.write(changes)
+            except StoreError as error:
+                # Votes that may be forgotten are none: others take over what is held here.
+                logger.error("the handoff's store can't be written, nothing is protected here: {error}",
+                             event="handoff-store-failed", error=str(error))
+                self.keeper.out.clear()
+                self.close()
+                return False
+        touched.clear()
+        return True
+
     def close(self, done: Callable[[], None] = lambda: None) -> None:
         """The process ends; others take over what is held here once membership tells them."""
         if self.closed:
@@ -276,4 +314,8 @@
             self.port.stopListening()
         for link in list(self.links):
             link.end("stopping")
+        self.keeper.close()
+        if self.store is not None:
+            self.store.close()
+            self.store = None
         done()
--- a/decklb/handoff/settings.py
+++ b/decklb/handoff/settings.py
@@ -28,6 +28,7 @@
     drift: float = 0.01  # by which one member's clock may run faster than another's
     linger: float = 5_000.0  # a final answer is kept this long past its deadline, for a client that comes back
     slack: float = 500.0  # past a deadline the protocol still counts an answer
+    data: str = ""  # folder of the store by which records outlive the process; none without
 
     def __post_init__(self) -> None:
         if not 1 <= self.copies <= 8:
@@ -38,6 +39,8 @@
             raise ValueError("lease and linger must be above 0, drift from 0 to 0.5, slack at least 0")
         if min(self.patience, self.beat, self.resend, self.stagger, self.longest, self.room, self.members) <= 0:
             raise ValueError("members, patience, beat, resend, stagger, longest and room must be above 0")
+        if self.data and self.copies < 2:
+            raise ValueError("data needs at least 2 copies: what is written here is no vote by itself")
         if self.lease < 3 * self.beat:
             raise ValueError("lease must be at least three beats, or one lost beat would end it")
 
--- a/decklb/handoff/table.py
+++ b/decklb/handoff/table.py
@@ -36,7 +36,8 @@
 
     def __init__(self, settings: HandoffSettings) -> None:
         self.settings = settings
-        self.promises = Promises()
+        self.touched: dict[str, None] = {}  # keys of which something changed, for whoever keeps them on disk
+        self.promises = Promises(self.touched)
         self.held = 0  # bytes of requests and answers
         self._records: dict[str, Record] = {}
         self._bodies: dict[str, bytes] = {}
@@ -119,11 +120,20 @@
         must not outdo what is taken next."""
         held = self._records.pop(key, None)
         if held is not None:
+            self.touched[key] = None
             self.held -= len(held.answer)
             self._forget_body(key)
             if held.admitted:
                 self.promises.above(key, held.term)
 
+    def restore(self, key: str, record: Record | None, body: bytes | None, granted: tuple[int, str] | None,
+                now: float) -> None:
+        """What an earlier run held of a key."""
+        if granted is not None:
+            self.grant(key, granted, now)
+        if record is not None:
+            self._store(record, body)
+
     def expire(self, now: float) -> list[str]:
         """Drops what has lingered out, and says which keys."""
         dropped = []
@@ -143,6 +153,7 @@
 
     def _store(self, record: Record, body: bytes | None) -> None:
         key, held = record.key, self._records.get(record.key)
+        self.touched[key] = None
         self._records[key] = record
         self.held += len(record.answer) - (len(held.answer) if held is not None else 0)
         if record.stage >= Stage.ANSWERED:
--- a/decklb/lab/outage.py
+++ b/decklb/lab/outage.py
@@ -50,8 +50,8 @@
   <postgres user="decklb" connections="64"/>
   <cluster name="outage" bind="{bind}" advertise="{told}" keys="{keys}" interval="100ms" timeout="45ms" gossip="20ms"
            exchange="500ms" settle="300ms">{seeds}</cluster>
-  <handoff members="{members}" copies="3" lease="{lease}ms" beat="100ms" patience="300ms" resend="60ms" stagger="250ms"
-           longest="{longest}ms" linger="{linger}ms" slack="500ms"/>
+  <handoff members="{members}"{data} copies="3" lease="{lease}ms" beat="100ms" patience="300ms" resend="60ms"
+           stagger="250ms" longest="{longest}ms" linger="{linger}ms" slack="500ms"/>
   <control socket="{socket}"/>
 </decklb>
 """
@@ -70,6 +70,7 @@
     linger: float = 1500.0
     lease: float = 600.0
     kinds: tuple[Kind, ...] = KINDS
+    data: bool = False  # managers keep their records on disk
 
     @property
     def life(self) -> float:
@@ -160,16 +161,18 @@
             keys="keys.json", engines=engines,
             seeds="".join("<seed>{}:{}</seed>".format(*a) for a in self.rig.told.values()),
             members=s.managers, lease=f"{s.lease:g}", longest=f"{s.longest:g}", linger=f"{s.linger:g}",
-            socket=f"{name}.sock"))
+            socket=f"{name}.sock", data=f' data="{name}.data"' if s.data else ""))
         if name in self.managers:
             self.spoken += self.managers[name].lines
         p = self.managers[name] = Process(name)
         await p.start("decklb.lab.jumpy", "serve", "--settings", str(path))
         self.ports[name] = int((await p.says(r"listens on [\d.]+:(\d+)"))[1])
-        self.since[name] = time.monotonic()
+        if not (s.data and name in self.since):
+            self.since[name] = time.monotonic()
 
     async def remember(self) -> None:
-        """Wait until every manager remembers for longer than any record lives, so that each may vote again."""
+        """Wait until every manager remembers for longer than any record lives, so that each may vote again; one that
+        keeps its records on disk does so by itself."""
         await asyncio.sleep(max(0.0, max(self.since.values()) + self.setup.life / 1000 + 0.3 - time.monotonic()))
 
     async def strike(self, fault: Fault) -> None:
--- a/decklb/middleware/asgi.py
+++ b/decklb/middleware/asgi.py
@@ -11,14 +11,17 @@
 import math
 from collections.abc import Awaitable, Callable, MutableMapping
 from dataclasses import dataclass, field
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from loguru import logger
 
 from decklb.core.dispatcher import EARLY, Attempt, Dispatcher
-from decklb.core.ports import Timer, Work
+from decklb.core.ports import Intake, Timer, Work
 from decklb.interface import Entry, Outcome, Settings
 
+if TYPE_CHECKING:
+    from decklb.middleware.members import Members
+
 Message = MutableMapping[str, Any]
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[Message]]
@@ -37,6 +40,7 @@
     budget: float = 0.0
     tables: int = 0
     key: str | None = None
+    once: str = ""  # names the request, so that its client may come back for the answer to any process
 
 
 @dataclass(slots=True)
@@ -69,8 +73,9 @@
 class AppEngines:
     """The core's engine client: an attempt is one call of the application."""
 
-    def __init__(self, app: App, most_response: int) -> None:
-        self.app, self.most_response = app, most_response
+    def __init__(self, app: App, most_response: int, written: Callable[[list[Message]], bytes] | None) -> None:
+        """`written` writes a response down, where others may have to give it."""
+        self.app, self.most_response, self.written = app, most_response, written
 
     def start(self, attempt: Attempt) -> None:
         """Call the application; the end of its task is the end of the attempt."""
@@ -115,7 +120,7 @@
         assert isinstance(work, AsgiWork)
         if not attempt.request.answered:
             work.response = response
-        attempt.end(Outcome.GOOD)
+        attempt.end(Outcome.GOOD, self.written(response) if self.written is not None and work.once else b"")
 
     def give_up(self, attempt: Attempt, freed: Callable[[], None]) -> None:
         """Cancel the call; it is out until its task has ended."""
@@ -132,6 +137,7 @@
 
     def __init__(self, future: asyncio.Future[tuple[int, float]]) -> None:
         self.future = future
+        self.result = b""
 
     def _set(self, status: int, wait: float = 0.0) -> None:
         if not self.future.done():
@@ -139,6 +145,7 @@
 
     def served(self, result: bytes) -> None:
         """The response is whole."""
+        self.result = result
         self._set(200)
 
     def refused(self, backoff: float) -> None:
@@ -149,12 +156,20 @@
         """Over, or unknown."""
         self._set(504)
 
+    def conflict(self) -> None:
+        """The name of the request was given to another."""
+        self._set(422)
+
 
 class WorkloadMiddleware:
     """Wraps an application. `classify` says what a request is, or None for what goes by unmanaged."""
 
     def __init__(self, app: App, settings: Settings, engines: list[Entry], classify: Callable[[Scope], Ask | None],
-                 seed: int = 0, most_body: int = 1 << 20, most_response: int = 4 << 20) -> None:
+                 seed: int = 0, most_body: int = 1 << 20, most_response: int = 4 << 20,
+                 fleet: Members | None = None) -> None:
+        """`fleet` makes this process one of several that take over one another's requests; see docs/operations."""
+        self.fleet = fleet
+        self.intake: Intake | None = None
         self.app, self.settings, self.classify, self.seed = app, settings, classify, seed
         self.most_body, self.most_response = most_body, most_response
         self.entries = engines
@@ -169,6 +184,12 @@
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """One ASGI call."""
+        if scope["type"] == "lifespan" and self.fleet is not None:
+            self._core(asyncio.get_running_loop())  # a member from the start, not from the first request on
+            try:
+                return await self.app(scope, receive, send)
+            finally:
+                self.fleet.close()
         ask = self.classify(scope) if scope["type"] == "http" else None
         if ask is None or ask.lane not in self.settings.classes:
             return await self.app(scope, receive, send)
@@ -193,13 +214,15 @@
 
     async def _managed(self, ask: Ask, scope: Scope, body: bytes, receive: Receive, send: Send) -> None:
         loop = asyncio.get_running_loop()
-        dispatcher = self._core(loop)
+        intake = self._core(loop)
         self._count += 1
         budget = ask.budget or self.settings.classes[ask.lane].deadline
-        work = AsgiWork(f"{self._count:016x}", ask.lane, ask.tenant, budget, body, ask.tables, ask.key, scope=scope)
+        work = AsgiWork(f"{self._count:016x}", ask.lane, ask.tenant, budget, body, ask.tables, ask.key, scope=scope,
+                        once=ask.once if self.fleet is not None else "")
         answer: asyncio.Future[tuple[int, float]] = loop.create_future()
         start = loop.time()
-        request = dispatcher.submit(work, Sink(answer))
+        sink = Sink(answer)
+        request = intake.submit(work, sink)
         left = asyncio.ensure_future(_until_gone(receive))
         waits: set[asyncio.Future[Any]] = {answer, left}
         try:
@@ -210,8 +233,11 @@
                 return
             status, wait = answer.result()
             if status == 200:
-                for message in work.response:
+                for message in work.response if self.fleet is None or not sink.result else \
+                        self.fleet.codec.messages(sink.result):
                     await send(message)
+            elif status == 422:
+                await _respond(send, 422)
             elif loop.time() - start >= budget / 1000 - EARLIEST:
                 await _respond(send, 504)
             elif status == 503:
@@ -220,15 +246,17 @@
                 await _respond(send, 502)
         finally:
             left.cancel()
-            dispatcher.abandon(request)  # nothing if it has been answered
-
-    def _core(self, loop: asyncio.AbstractEventLoop) -> Dispatcher:
-        """Made on the first request, as only then there is a loop."""
-        if self.dispatcher is None:
-            self.dispatcher = Dispatcher(self.settings, self.seed, LoopClock(loop),
-                                         AppEngines(self.app, self.most_response))
+            intake.abandon(request)  # nothing if it has been answered
+
+    def _core(self, loop: asyncio.AbstractEventLoop) -> Intake:
+        """Made on the first call, as only then there is a loop."""
+        if self.intake is None:
+            clock, fleet = LoopClock(loop), self.fleet
+            self.dispatcher = Dispatcher(self.settings, self.seed, clock, AppEngines(
+                self.app, self.most_response, fleet.codec.response if fleet is not None else None))
             self.dispatcher.members(self.entries)
-        return self.dispatcher
+            self.intake = fleet.attach(self.dispatcher, clock, loop) if fleet is not None else self.dispatcher
+        return self.intake
 
 
 async def _until_gone(receive: Receive) -> None:
