--- a/decklb/cli/__init__.py
+++ b/decklb/cli/__init__.py
@@ -12,8 +12,8 @@
     """A workload manager in front of query engines."""
 
 
-for command in (serve.serve, serve.check, serve.schema, serve.version, running.members, running.duties, keys.keys,
-                lab.lab, trial.try_):
+for command in (serve.serve, serve.check, serve.schema, serve.version, running.members, running.duties, running.handoff,
+                keys.keys, lab.lab, trial.try_):
     main.add_command(command)
 
 __all__ = ["main"]
--- a/decklb/cli/running.py
+++ b/decklb/cli/running.py
@@ -78,3 +78,21 @@
     _table([["KIND", "SUBJECT", "OWNER", "TERM", "RESULT", "AGE", "PASSED"]] + [
         [r["kind"], r["subject"], (r["owner"] or "-") + (" *" if r["own"] else ""), str(r["term"] or "-"),
          "down" if r["down"] else result[r["up"]], _ago(r["age_ms"]), ",".join(r["passed"]) or "-"] for r in rows])
+
+
+@click.command()
+@SOCKET
+@SETTINGS
+@JSON
+def handoff(socket: str | None, settings: str | None, as_json: bool) -> None:
+    """The requests in hand that this instance holds for itself and for others."""
+    import ujson
+
+    found = _ask(socket, settings, "handoff")
+    if as_json:
+        return click.echo(ujson.dumps(found))
+    if not found:
+        return click.echo("the handoff is off here: its settings have no <handoff>")
+    counts = found.pop("counts")
+    _table([["HELD", "VALUE"]] + [[name, str(value)] for name, value in found.items()]
+           + [[f"count {name}", str(value)] for name, value in sorted(counts.items())])
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -49,6 +49,14 @@
     ('<cluster name="k" bind="127.0.0.1:7" advertise="0.0.0.0:8" keys="k"/>', 5,
      "advertise: others can't reach 0.0.0.0"),
     ('<cluster name="k" bind="127.0.0.1:7"/>', 5, "'keys' is required"),
+    ('<handoff members="3"/>', 5, "needs <cluster>"),
+    (CLUSTER + '<handoff members="3"/>', 6, "needs <postgres>"),
+    (CLUSTER + '<postgres user="u"/>\n<handoff/>', 7, "'members' is required"),
+    (CLUSTER + '<postgres user="u"/>\n<handoff members="3" lease="500ms"/>', 7, "at least three beats"),
+    (CLUSTER + '<postgres user="u"/>\n<handoff members="3" copies="1" data="d"/>', 7, "at least 2 copies"),
+    (CLUSTER + '<postgres user="u"/>\n<handoff members="3" copies="9"/>', 7, "from 1 to 8"),
+    ('<cluster name="k" bind="127.0.0.1:7" keys="k" lately="5s"/>\n<postgres user="u"/>\n<handoff members="3"/>', 5,
+     "for as long as records live"),
     (CLUSTER + '<probing cold-factor="0.5"/>', 6, "at least 1"),
     ('<cluster name="k" bind="127.0.0.1:7" keys="k"><seed>nowhere</seed></cluster>', 5, "HOST:PORT"),
     (f'<control socket="{"x" * 150}"/>', 5, "at most 100"),
@@ -98,6 +106,11 @@
 
 
 class Meaning(unittest.TestCase):
+    def test_handoff_example(self):
+        c = config.load(None, str(ROOT / "deploy/handoff.xml"))
+        assert c.handoff is not None and c.handoff.members == 3 and c.postgres is not None
+        assert c.handoff.data == str(ROOT / "deploy/reportes-1.data")
+
     def test_cluster_example(self):
         c = config.load(None, str(ROOT / "deploy/cluster.xml"))
         assert c.cluster is not None and c.cluster.probing is not None and len(c.cluster.seeds) == 3
