Decide zones' states in common and keep traffic near: the decisions, and seven cases in the laboratory

decklb/locality/: one vote a member and term, more than half of all known members decide; a member without a view follows most of those that have one; one that hears no quorum keeps the decision for a while, then goes by itself.

--- a/decklb/cli/lab.py
+++ b/decklb/cli/lab.py
@@ -256,6 +256,24 @@
         click.echo("  ".join(f"{name} {value}" for name, value in row.items()))
 
 
+@lab.command()
+@click.option("--managers", default=12, show_default=True, type=click.IntRange(2, 1000))
+@click.option("--zones", "count", default=4, show_default=True, type=click.IntRange(2, 100))
+@click.option("--seeds", default=5, show_default=True, type=click.IntRange(1, 1000))
+@click.option("--case", "cases", multiple=True, help="Only these; all by default.")
+def zones(managers: int, count: int, seeds: int, cases: tuple[str, ...]) -> None:
+    """Zones judged in common against each manager judging alone, over paired seeds."""
+    from decklb.lab.locality import CASES, compare
+
+    for case in cases or CASES:
+        try:
+            rows = compare(case, list(range(1, seeds + 1)), managers, count)
+        except ValueError as error:
+            raise click.ClickException(str(error)) from error
+        for row in rows:
+            click.echo("  ".join(f"{name} {value}" for name, value in row.items()))
+
+
 @lab.command()
 @click.argument("path")
 @click.option("--target", "where", required=True, help="HOST:PORT on loopback.")
--- /dev/null
+++ b/decklb/lab/locality.py
@@ -0,0 +1,132 @@
+"""Zones judged in common against each manager judging alone, on a simulated network and a fluid of requests.
+
+Managers stand in zones, two zones a region; each sends the requests of its own callers by `locality.spill`, by the
+states that it holds. A case breaks something for a while. Seeded: the same seed, the same run, with the same faults for
+both ways of judging.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from decklb.locality.settings import LocalitySettings
+from decklb.locality.spill import Place, shares, usable
+from decklb.locality.zones import Ballot, Decided, State, View, Zones
+
+STEP = 250.0  # ms between ticks of a member
+CASES = ("lost", "parted", "slow", "region", "halves", "liar", "flicker")
+STRUCK, MENDED, END = 10_000.0, 25_000.0, 60_000.0
+LOSS, DELAY = 0.05, 40.0  # share of words lost; ms of delay at most
+
+
+@dataclass(slots=True)
+class Told:
+    """What one run showed."""
+
+    case: str
+    common: bool
+    seed: int
+    decided: list[float] = field(default_factory=list)  # ms from the loss until each member held the zone out
+    wrong: int = 0  # states that a member took for a zone that was well
+    changes: int = 0  # of states, over all members and zones
+    left: float = 0.0  # share of requests that left a zone that was never struck, and could have borne them
+    errors: float = 0.0  # share of requests sent to where nothing answers, or beyond what is borne
+    flood: float = 0.0  # highest load on a returning zone over its budget
+
+
+def play(case: str, seed: int, common: bool, managers: int = 12, zones: int = 4,
+         settings: LocalitySettings | None = None) -> Told:
+    """One run."""
+    if case not in CASES:
+        raise ValueError(f"no case {case!r}; one of {', '.join(CASES)}")
+    s, rng, told = settings or LocalitySettings(), random.Random(f"{case}/{seed}"), Told(case, common, seed)
+    names = [f"z{i}" for i in range(zones)]
+    region = {z: f"r{i // 2}" for i, z in enumerate(names)}
+    home = {f"m{i}": names[i % zones] for i in range(managers)}
+    members = {m: Zones(s, m, names, 0.0) for m in home}
+    for m in members:
+        members[m].members(home if common else (m,))
+    sick = rng.choice(names)
+    struck = {z for z in names if region[z] == region[sick]} if case == "region" else {sick}
+    parted = set(rng.sample(sorted(m for m in home if home[m] != sick), managers // 4))
+    half = set(rng.sample(sorted(home), managers // 2))
+    liar = rng.choice(sorted(home))
+    capacity, load = 1000.0, 600.0
+    waiting: list[tuple[float, str, str, Ballot | Decided]] = []
+    held: dict[tuple[str, str], State] = {}
+    out_at: dict[str, float] = {}
+    sent = strayed = failed = now = 0.0
+    while now < END:
+        broken = STRUCK <= now < MENDED
+        flick = case == "flicker" and broken and int(now / 1500.0) % 2 == 0
+        truth = {z: 0.0 if (case in ("lost", "region", "halves") and broken or flick) and z in struck else 1.0
+                 for z in names}
+        for m, z_of in members.items():
+            for z in names:
+                up = truth[z]
+                if case == "parted" and broken and m in parted and z == sick:
+                    up = 0.0
+                if case == "liar" and m == liar and z == sick:
+                    up = 0.0
+                slowness = 6.0 if case == "slow" and broken and z == sick else 1.0
+                z_of.saw(now, z, View(up, rng.random() * 0.05, slowness * rng.uniform(0.9, 1.2)))
+        due = [w for w in waiting if w[0] <= now]
+        waiting = [w for w in waiting if w[0] > now]
+        for _, sender, receiver, word in due:
+            members[receiver].hear(now, word, sender)
+        for m, z_of in members.items():
+            z_of.tick(now)
+            words, z_of.out = z_of.out, []
+            for other in members if common else ():
+                split = case == "halves" and broken and (m in half) != (other in half)
+                if other != m and not split:
+                    waiting += [(now + rng.uniform(1.0, DELAY), m, other, w) for w in words if rng.random() >= LOSS]
+        # The fluid: each manager's callers' requests, where its own states send them.
+        arriving = dict.fromkeys(names, 0.0)
+        mine = load * zones / managers
+        for m, z_of in members.items():
+            places = {z: Place(region[z], capacity, load, *z_of.state(z, now)) for z in names}
+            routed = shares(home[m], places, now, s)
+            for z, share in routed.items():
+                arriving[z] += mine * share
+            sent += mine
+            if home[m] not in struck or case in ("parted", "liar"):
+                strayed += mine * (1.0 - routed.get(home[m], 0.0))
+        for z in names:
+            bears = capacity * truth[z]
+            if case in ("lost", "region", "halves") and z in struck and now >= MENDED:
+                # It returns cold: what it bears grows over the ramp.
+                bears = min(bears, usable(Place(region[z], capacity, load, State.RETURNING, MENDED), now, s) / s.full)
+                if arriving[z] > 0:
+                    told.flood = max(told.flood, arriving[z] / bears)
+            failed += max(0.0, arriving[z] - bears)
+        for m, z_of in members.items():
+            for z in names:
+                state = z_of.state(z, now)[0]
+                if state is not held.get((m, z), State.HEALTHY):
+                    held[m, z] = state
+                    told.changes += 1
+                    told.wrong += truth[z] > 0 and state is State.OUT and case in ("parted", "liar")
+                if state is State.OUT and z in struck and case in ("lost", "region", "halves") and m not in out_at:
+                    out_at[m] = now - STRUCK
+        now += STEP
+    told.decided = sorted(out_at.values())
+    told.left, told.errors = strayed / sent, failed / sent
+    return told
+
+
+def compare(case: str, seeds: list[int], managers: int, zones: int) -> list[dict[str, object]]:
+    """Both ways of judging over paired seeds, as two rows."""
+    rows: list[dict[str, object]] = []
+    for common in (False, True):
+        runs = [play(case, seed, common, managers, zones) for seed in seeds]
+        decided = sorted(x for r in runs for x in r.decided)
+        at = {f"out_p{p}_ms": round(decided[min(len(decided) - 1, len(decided) * p // 100)]) if decided else None
+              for p in (50, 99)}
+        rows.append({"case": case, "judged": "common" if common else "alone", "runs": len(runs), **at,
+                     "wrong": sum(r.wrong for r in runs), "changes": sum(r.changes for r in runs) / len(runs),
+                     "left": round(sum(r.left for r in runs) / len(runs), 4),
+                     "errors": round(sum(r.errors for r in runs) / len(runs), 4),
+                     "flood": round(max(r.flood for r in runs), 2)})
+    return rows
--- /dev/null
+++ b/decklb/locality/zones.py
@@ -0,0 +1,196 @@
+"""One member's part in deciding the states of zones in common (free of I/O).
+
+Each term of a zone is decided once: a member votes at most once in a term, and a state is decided when more than half
+of all known members voted for it in that term, so two states can't both be. A member votes for what it has seen for a
+while itself; one that saw nothing of the zone lately follows a majority of those that did. One member's bad link, or
+one that lies, moves nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from decklb.locality.settings import LocalitySettings
+
+
+class State(IntEnum):
+    """Of a zone. A zone that was out returns before it is healthy."""
+
+    HEALTHY = 0
+    DEGRADED = 1
+    OUT = 2
+    RETURNING = 3
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """What one member saw of a zone lately."""
+
+    up: float  # share of the zone's capacity that the member can reach
+    errors: float = 0.0  # share of its attempts there that the engines failed
+    slowness: float = 1.0  # latency over what is usual there
+
+
+@dataclass(frozen=True, slots=True)
+class Ballot:
+    """A member's vote, as it is told to all. `state` None: it saw nothing that speaks for a change."""
+
+    zone: str
+    member: str
+    term: int
+    state: State | None
+    seen: bool  # whether it has seen the zone lately
+
+
+@dataclass(frozen=True, slots=True)
+class Decided:
+    """A state and its term. `age` is ms since it was decided, by the sender's clock."""
+
+    zone: str
+    term: int
+    state: State
+    age: float = 0.0
+
+
+@dataclass(slots=True)
+class Zone:
+    """What a member holds of one zone."""
+
+    state: State = State.HEALTHY
+    term: int = 0
+    since: float = -float("inf")  # when it was decided, on this member's clock
+    view: View | None = None
+    viewed: float = -float("inf")
+    wanted: State | None = None
+    wanted_since: float = 0.0
+    cast: tuple[int, State] | None = None  # own vote, and when it was given
+    cast_at: float = 0.0
+    ballots: dict[str, tuple[Ballot, float]] = field(default_factory=dict)
+
+
+def seen_as(view: View, now_state: State, settings: LocalitySettings) -> State:
+    """What a view by itself says of a zone. A state is left only well past where it was entered, so that a zone at the
+    edge does not go to and fro."""
+    slack = 0.8 if now_state in (State.DEGRADED, State.OUT) else 1.0
+    bad = max(1.0 - view.up, view.errors)
+    if bad >= settings.out * slack:
+        return State.OUT
+    if bad >= settings.degraded * slack or view.slowness >= settings.slow * slack:
+        return State.DEGRADED
+    return State.HEALTHY
+
+
+class Zones:
+    """All zones, as one member holds them. `out` gathers what is to be told to all others."""
+
+    def __init__(self, settings: LocalitySettings, me: str, zones: Collection[str], now: float) -> None:
+        self.s, self.me = settings, me
+        self.zones = {name: Zone() for name in sorted(zones)}
+        self.known: frozenset[str] = frozenset((me,))
+        self.out: list[Ballot | Decided] = []
+        self.alone = False  # no quorum was heard for `keep`: this member goes by its own view
+        self._heard: dict[str, float] = {}
+        self._quorum_at = now
+
+    def members(self, known: Collection[str]) -> None:
+        """All members that count, dead or alive: a quorum is more than half of them."""
+        self.known = frozenset(known) | {self.me}
+
+    def saw(self, now: float, zone: str, view: View) -> None:
+        """This member's own view."""
+        z = self.zones.get(zone)
+        if z is not None:
+            z.view, z.viewed = view, now
+
+    def hear(self, now: float, word: Ballot | Decided, sender: str) -> None:
+        """A word of another member."""
+        self._heard[sender] = now
+        z = self.zones.get(word.zone)
+        if z is None:
+            return
+        if isinstance(word, Decided):
+            if word.term > z.term:
+                self._decide(now - word.age, z, word.term, word.state)
+        elif word.member == sender and sender in self.known:
+            before = z.ballots.get(sender)
+            if before is None or word.term >= before[0].term:
+                z.ballots[sender] = word, now
+
+    def state(self, zone: str, now: float) -> tuple[State, float]:
+        """What holds for a zone, and since when: the common decision, or the own view of a member that is alone."""
+        z = self.zones[zone]
+        if self.alone and z.view is not None and now - z.viewed <= self.s.fresh:
+            return seen_as(z.view, z.state, self.s), z.wanted_since
+        return z.state, z.since
+
+    def tick(self, now: float) -> None:
+        """What time does; to be called a few times a second."""
+        reached = 1 + sum(now - at <= self.s.fresh for name, at in self._heard.items() if name in self.known)
+        if 2 * reached > len(self.known):
+            self._quorum_at, self.alone = now, False
+        elif now - self._quorum_at > self.s.keep:
+            self.alone = True
+        for name, z in self.zones.items():
+            self._want(now, z)
+            self._vote(now, name, z)
+            self._count(now, name, z)
+
+    # Inside.
+
+    def _want(self, now: float, z: Zone) -> None:
+        wanted: State | None = None
+        if z.view is not None and now - z.viewed <= self.s.fresh:
+            seen = seen_as(z.view, z.state, self.s)
+            if z.state is State.OUT and seen is not State.OUT:
+                wanted = State.RETURNING
+            elif z.state is State.RETURNING and seen is State.HEALTHY:
+                wanted = State.HEALTHY if now - z.since >= self.s.ramp else None
+            elif seen is not z.state and not (z.state is State.RETURNING and seen is State.DEGRADED):
+                wanted = seen
+        if wanted is not z.wanted:
+            z.wanted, z.wanted_since = wanted, now
+
+    def _vote(self, now: float, name: str, z: Zone) -> None:
+        seen = now - z.viewed <= self.s.fresh
+        wish = z.wanted if now - z.wanted_since >= self.s.settle else None
+        if not seen:
+            wish = self._followed(now, z)
+        if wish is not None and now - z.since >= self.s.hold:
+            highest = max([z.term, *(b.term for b, at in z.ballots.values() if now - at <= self.s.fresh)])
+            term = max(z.term + 1, highest)
+            if z.cast is not None and z.cast[0] >= term:
+                term = z.cast[0]  # one vote a term: another wish waits for the next
+                if z.cast[1] is not wish and now - z.cast_at >= self.s.retry:
+                    term += 1
+            if z.cast is None or z.cast[0] < term:
+                z.cast, z.cast_at = (term, wish), now
+        cast = z.cast if z.cast is not None and z.cast[0] > z.term else None
+        ballot = Ballot(name, self.me, cast[0] if cast else z.term, cast[1] if cast else None, seen)
+        z.ballots[self.me] = ballot, now
+        self.out.append(ballot)
+        if z.term:
+            self.out.append(Decided(name, z.term, z.state, max(0.0, now - z.since)))
+
+    def _followed(self, now: float, z: Zone) -> State | None:
+        """What most of those that saw the zone lately vote for, for a member that did not."""
+        seers = [b for b, at in z.ballots.values() if b.seen and now - at <= self.s.fresh]
+        for state in State:
+            if 2 * sum(b.state is state and b.term > z.term for b in seers) > len(seers):
+                return state
+        return None
+
+    def _count(self, now: float, name: str, z: Zone) -> None:
+        tally: dict[tuple[int, State], int] = {}
+        for member, (b, _) in z.ballots.items():
+            if member in self.known and b.state is not None and b.term > z.term:
+                tally[b.term, b.state] = tally.get((b.term, b.state), 0) + 1
+        for (term, state), votes in sorted(tally.items()):
+            if 2 * votes > len(self.known):
+                self._decide(now, z, term, state)
+                self.out.append(Decided(name, term, state))
+
+    def _decide(self, when: float, z: Zone, term: int, state: State) -> None:
+        z.term, z.state, z.since = term, state, when
+        z.wanted = None
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -8,7 +8,8 @@
 from tests.standins import ROOT
 
 OFF = ("lxml", "msgspec", "cryptography", "xxhash", "numpy", "pyarrow", "matplotlib", "simpy", "rich", "hdrh",
-       "decklb.cluster", "decklb.handoff", "decklb.lab", "decklb.pg", "decklb.bgp", "decklb.middleware",
+       "lmdb", "decklb.cluster", "decklb.handoff", "decklb.locality", "decklb.lab", "decklb.pg", "decklb.bgp",
+       "decklb.middleware",
        "decklb.daemon.control", "decklb.config.xml", "decklb.config.operators", "decklb.wire.prober",
        "decklb.net.prober")
 CODE = """
@@ -49,3 +50,11 @@
             for name in ("twisted", "loguru", "import time", "import os", "import socket", "open("):
                 # `open` of the sealer is a cipher's, no file's.
                 assert name not in text.replace(".open(", "").replace("def open(", ""), f"{path.name}: {name}"
+
+
+def test_decisions_of_handoff_and_locality_know_no_io():
+    for package, io in (("handoff", {"runtime.py", "store.py", "guard.py"}), ("locality", set())):
+        for path in (ROOT / "decklb" / package).glob("*.py"):
+            if path.name not in io:
+                for name in ("twisted", "loguru", "import time", "import os", "import socket", "lmdb", " open("):
+                    assert name not in path.read_text(), f"{path.name}: {name}"
