Drop what the handoff does not use; a statement cancelled before it is taken is let go

A stage 'delivered' and its step were decided on and never written: an answer is kept until it lapses, since a written socket proves nothing. The guard's spare protocol and flag, close()'s and joined()'s unused ends go too. A cancel that came while the quorum was still asked for was forgotten, and the statement ran for nobody: it is let go now. Cancelling one that runs ends it for all that ask, held by a new case in tests/test_handoff_program.py.

--- a/decklb/handoff/guard.py
+++ b/decklb/handoff/guard.py
@@ -33,15 +33,6 @@
         """The request again, with what is left of its budget."""
 
 
-class Stakes(Protocol):
-    """A sink that is told more than the core's three words where its request is protected."""
-
-    def refused(self, backoff: float) -> None: ...
-
-    def conflict(self) -> None:
-        """The key was given to another request."""
-
-
 @dataclass(eq=False, slots=True)
 class Protected:
     """One request with a key, from its arrival here until its answer is given, or until it is another's."""
@@ -52,6 +43,7 @@
     request: Request | None = None
     carried: Carried | None = None  # the attempt that is out
     after: list[Callable[[], None]] = field(default_factory=list)  # once it is out no longer
+    unwanted: bool = False  # cancelled before it was taken
 
     def served(self, result: bytes) -> None:
         """The core's word: an engine's whole answer."""
@@ -145,7 +137,6 @@
         self.pump: Callable[[], None] = lambda: None
         self.running: dict[str, Protected] = {}  # by the core's name of the request
         self.by_key: dict[str, Protected] = {}
-        self.closing = False
         self._made = 0
         dispatcher.engines = Engines(dispatcher.engines, self)
 
@@ -179,7 +170,7 @@
         """Its client wants it no more, and is told so by its front."""
         if not isinstance(taken, Protected):
             return self.dispatcher.abandon(taken)
-        taken.sink = None
+        taken.sink, taken.unwanted = None, True
         if taken.request is not None and not taken.request.answered:
             self.dispatcher.abandon(taken.request)
             self._forget(taken)
@@ -257,6 +248,8 @@
 
     def _taken(self, p: Protected, work: Work, taken: Taken, since: float) -> None:
         self.say(p, f"{taken.state} {taken.reason}")
+        if taken.state == "taken" and p.unwanted:
+            return self.keeper.release(self.clock.now(), p.key)
         if taken.state == "taken":
             work.budget = max(1.0, work.budget - (self.clock.now() - since))
             return self._run(p, work)
--- a/decklb/handoff/records.py
+++ b/decklb/handoff/records.py
@@ -21,8 +21,7 @@
 
     QUEUED = 0  # taken and never sent on, or sent and proven not to have run (the engine said FULL)
     SENT = 1  # sent to `engine`; it may have run
-    ANSWERED = 2  # its final answer is known and held here, not yet given to the client
-    DELIVERED = 3  # the client has its final answer
+    ANSWERED = 2  # its final answer is known, and kept until it lapses for a client that comes back
 
 
 class Outcome(IntEnum):
@@ -96,10 +95,6 @@
         """Whether the final answer can be given to a client that comes back."""
         return self.stage >= Stage.ANSWERED and self.reason != TOO_LARGE
 
-    def delivered(self) -> Record:
-        """The client has it: only the outcome is kept, for a client that comes back."""
-        return replace(self, stage=Stage.DELIVERED, answer=b"", version=self.version + 1)
-
     def taken(self, owner: str, term: int, run: int = 0) -> Record:
         """Another member holds it from now, under a higher term."""
         return replace(self, owner=owner, term=term, run=run, version=0, admitted=True)
--- a/decklb/handoff/runtime.py
+++ b/decklb/handoff/runtime.py
@@ -8,7 +8,6 @@
 
 import os
 import random
-from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 from loguru import logger
@@ -101,8 +100,7 @@
         self.heard = self.service.clock.now()
         if not self.up:
             self.up = True
-            if not self.service.joined(self):
-                return
+            self.service.joined(self)
         self.service.heard(self, found.body)
 
     def _greeted(self, hello: m.Hello) -> None:
@@ -230,7 +228,7 @@
 
     # What connections call.
 
-    def joined(self, link: Link) -> bool:
+    def joined(self, link: Link) -> None:
         """A member has proved who it is. A second connection replaces the first."""
         assert link.hello is not None
         before = self.peers.get(link.peer)
@@ -241,7 +239,6 @@
         self.dials.pop(link.peer, None)
         self.keeper.linked(self.clock.now(), link.peer, link.hello.memory, link.hello.run)
         self.pump()
-        return True
 
     def heard(self, link: Link, words: list[m.Message]) -> None:
         """Words of a member, in order."""
@@ -303,7 +300,7 @@
         touched.clear()
         return True
 
-    def close(self, done: Callable[[], None] = lambda: None) -> None:
+    def close(self) -> None:
         """The process ends; others take over what is held here once membership tells them."""
         if self.closed:
             return
@@ -318,4 +315,3 @@
         if self.store is not None:
             self.store.close()
             self.store = None
-        done()
--- a/decklb/handoff/takeover.py
+++ b/decklb/handoff/takeover.py
@@ -19,7 +19,6 @@
     SEND = "send"  # send it to an engine, as a new attempt
     SEND_KEYED = "send-keyed"  # send it again under its own key, which the engine deduplicates
     HOLD = "hold"  # its answer is here: give it to the client that comes back
-    KEEP = "keep"  # delivered already: keep the outcome till it lingers out
     FAIL = "fail"  # end it as failed, and hold that for the client
 
 
@@ -32,8 +31,6 @@
 
 def decide(record: Record, now: float, settings: HandoffSettings) -> Decision:
     """What the holder of a record taken over does with it."""
-    if record.stage is Stage.DELIVERED:
-        return Decision(Step.KEEP, record, "delivered")
     if record.stage is Stage.ANSWERED and (record.kept or record.effect is not Effect.SAFE or now > record.deadline):
         return Decision(Step.HOLD, record, "answered")
     if now > record.deadline:
--- a/tests/test_handoff.py
+++ b/tests/test_handoff.py
@@ -116,7 +116,6 @@
         (Stage.SENT, Effect.UNSAFE, 0.0, Step.FAIL, "in-doubt"),
         (Stage.SENT, Effect.SAFE, 6000.0, Step.FAIL, "deadline"),
         (Stage.ANSWERED, Effect.UNSAFE, 6000.0, Step.HOLD, "answered"),
-        (Stage.DELIVERED, Effect.SAFE, 0.0, Step.KEEP, "delivered"),
     ]
 
     def test_what_is_sent_again_follows_what_is_proven(self):
--- a/tests/test_handoff_program.py
+++ b/tests/test_handoff_program.py
@@ -124,6 +124,18 @@
         self.assertEqual(self.client(final, "m1", "load", key, "select 1 -- run=made work=5"), row)
         self.assertEqual(len(self.runs("made")), 1)
 
+    def test_a_statement_that_its_client_cancels_has_failed_for_all_that_ask(self):
+        sql = "select 1 -- run=unwanted work=1500"
+        session = Session(self.fleet, "m0", "load", "unwanted")
+
+        async def cancel():
+            while not self.runs("unwanted"):
+                await asyncio.sleep(0.01)
+            await asyncio.to_thread(session.link.cancel)
+        self.assertIn("57014", self.during(lambda: session.run(sql), cancel))
+        self.assertIn("40003", self.client(final, "m1", "load", "unwanted", sql))
+        self.assertEqual((len(self.runs("unwanted")), len(self.runs("unwanted", "cancelled"))), (1, 1))
+
     def test_a_manager_that_was_cut_off_stops_and_cannot_finish_what_was_taken_over(self):
         sql = "select 1 -- run=parted work=1200"
 
