--- a/decklb/cli/lab.py
+++ b/decklb/cli/lab.py
@@ -181,8 +181,8 @@
 @click.option("--seconds", default=5.0, show_default=True, type=click.FloatRange(1, 60), help="Length of a run.")
 @click.option("--faults", "strikes", default=1, show_default=True, type=click.IntRange(0, 20), help="In each run.")
 @click.option("--only", multiple=True,
-              type=click.Choice(["kill", "stop", "partition", "cut", "lossy", "ahead", "behind"]),
-              help="Kinds of faults; all by default.")
+              type=click.Choice(["kill", "stop", "partition", "cut", "lossy", "ahead", "behind", "engines"]),
+              help="Kinds of faults; all but engines by default.")
 @click.option("--data", is_flag=True, help="Managers keep their records on disk.")
 @click.option("--logs", default="", help="Folder for the logs of managers and engines of runs that were not clean.")
 @click.option("--json", "as_json", is_flag=True, help="One JSON object: the sum, and each run that was not clean.")
--- a/decklb/lab/faults.py
+++ b/decklb/lab/faults.py
@@ -36,6 +36,7 @@
     CUT = "cut"  # one direction between two members
     PARTITION = "partition"  # both directions between a member and all others
     LOSSY = "lossy"  # a direction loses, duplicates and reorders
+    ENGINES = "engines"  # both directions between a member and all engines
     HEAL = "heal"  # every link is clean again
     KILL = "kill"  # SIGKILL
     STOP = "stop"  # SIGSTOP: a slow peer, until CONT
--- a/decklb/lab/outage.py
+++ b/decklb/lab/outage.py
@@ -186,6 +186,10 @@
                 await self.up(fault.target)
             case Kind.PARTITION:
                 rig.partition(fault.target)
+            case Kind.ENGINES:
+                for e in self.engines:
+                    rig.set(fault.target, e.name, Link(cut=True))
+                    rig.set(e.name, fault.target, Link(cut=True))
             case Kind.CUT:
                 rig.set(fault.target, fault.other, Link(cut=True))
             case Kind.LOSSY:
--- a/tests/test_handoff_program.py
+++ b/tests/test_handoff_program.py
@@ -136,6 +136,21 @@
         self.assertIn("40003", self.client(final, "m1", "load", "unwanted", sql))
         self.assertEqual((len(self.runs("unwanted")), len(self.runs("unwanted", "cancelled"))), (1, 1))
 
+    def test_a_manager_cut_off_from_its_engines_fails_in_time_and_alike_for_all_that_ask(self):
+        sql = "select 1 -- run=engineless work=300"
+
+        async def cut():
+            while not self.runs("engineless"):
+                await asyncio.sleep(0.01)
+            await self.fleet.strike(Fault(0.0, Kind.ENGINES, "m0"))
+        try:
+            first = self.during(lambda: Session(self.fleet, "m0", "load", "engineless").run(sql), cut)
+        finally:
+            self.fleet.rig.heal()
+        self.assertTrue(first.startswith(("57014", "40003")), first)  # it ran, and its answer never came
+        self.assertIn("40003", self.client(final, "m1", "load", "engineless", sql))
+        self.assertEqual(len(self.runs("engineless")), 1)
+
     def test_a_manager_that_was_cut_off_stops_and_cannot_finish_what_was_taken_over(self):
         sql = "select 1 -- run=parted work=1200"
 
