--- a/tests/test_handoff_store.py
+++ b/tests/test_handoff_store.py
@@ -76,13 +76,18 @@
 
 
 class Restarts(unittest.TestCase):
-    def test_a_successor_that_dies_during_the_takeover_is_followed_by_another(self):
+    def fleet_of(self, longest, seed, index):
+        """Managers that keep their records on disk, not yet started, and a loop to drive them."""
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         runner = asyncio.Runner()
         self.addCleanup(runner.close)
-        fleet = Fleet(Setup(data=True, longest=12_000.0), 6, folder.name, index=61)
+        fleet = Fleet(Setup(data=True, longest=longest), seed, folder.name, index)
         self.addCleanup(lambda: runner.run(fleet.stop()))
+        return runner, fleet
+
+    def test_a_successor_that_dies_during_the_takeover_is_followed_by_another(self):
+        runner, fleet = self.fleet_of(12_000.0, seed=6, index=61)
         sql = "select 1 -- run=chain work=1000"
 
         def starts():
@@ -115,12 +120,7 @@
         self.assertFalse(judge([], fleet.witnessed(), "load").overlapping)
 
     def test_answers_and_work_in_hand_outlive_all_managers_at_once(self):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        runner = asyncio.Runner()
-        self.addCleanup(runner.close)
-        fleet = Fleet(Setup(data=True, longest=8000.0), 5, folder.name, index=60)
-        self.addCleanup(lambda: runner.run(fleet.stop()))
+        runner, fleet = self.fleet_of(8000.0, seed=5, index=60)
 
         def ask(name, lane, key, sql):
             return runner.run(asyncio.to_thread(final, fleet, name, lane, key, sql))
