--- a/decklb/cli/__init__.py
+++ b/decklb/cli/__init__.py
@@ -13,7 +13,7 @@
 
 
 for command in (serve.serve, serve.check, serve.schema, serve.version, running.members, running.duties, running.handoff,
-                keys.keys, lab.lab, trial.try_):
+                running.zones, keys.keys, lab.lab, trial.try_):
     main.add_command(command)
 
 __all__ = ["main"]
--- a/decklb/cli/lab.py
+++ b/decklb/cli/lab.py
@@ -274,6 +274,45 @@
             click.echo("  ".join(f"{name} {value}" for name, value in row.items()))
 
 
+@lab.command()
+@click.option("--case", "cases", multiple=True, help="Only these; all by default.")
+@click.option("--judge", "ways", multiple=True, type=click.Choice(["alone", "common"]), help="Both by default.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--runs", default=1, show_default=True, type=click.IntRange(1, 100), help="Seeds, from --seed on.")
+@click.option("--fleets", default=1, show_default=True, type=click.IntRange(1, 8), help="Fleets side by side.")
+@click.option("--logs", default="", help="Folder for the logs of all managers.")
+@click.option("--json", "as_json", is_flag=True, help="One JSON array: a row for each case and way of judging.")
+def regions(cases: tuple[str, ...], ways: tuple[str, ...], seed: int, runs: int, fleets: int, logs: str,
+            as_json: bool) -> None:
+    """Five managers and six engines in three zones as processes, and faults between them; loopback only."""
+    import asyncio
+
+    import ujson
+
+    from decklb.lab import regions as lab
+    from decklb.lab.zonal import Judged, table
+
+    log.set_up("ERROR", "text")
+    if strange := set(cases) - set(lab.CASES):
+        raise click.ClickException(f"no case {min(strange)!r}; one of {', '.join(lab.CASES)}")
+
+    def told(r: Judged) -> None:
+        if not as_json:
+            click.echo(f"{r.case:7} {r.way:6} seed {r.seed:3}: {r.requests} requests, {r.lost} lost, {r.errors} errors,"
+                       f" {100 * r.left_share:.2f}% left, {r.wrong} wrong, {r.changes} changes, flood {r.flood:g}")
+
+    try:
+        made = asyncio.run(lab.campaign(list(cases or lab.CASES), list(range(seed, seed + runs)),
+                                        list(ways or ("alone", "common")), fleets, told, logs))
+    except (OSError, RuntimeError) as error:
+        raise click.ClickException(str(error)) from error
+    rows = table(made)
+    if as_json:
+        return click.echo(ujson.dumps(rows))
+    for row in rows:
+        click.echo("  ".join(f"{name} {value}" for name, value in row.items()))
+
+
 @lab.command()
 @click.argument("path")
 @click.option("--target", "where", required=True, help="HOST:PORT on loopback.")
--- a/decklb/cli/running.py
+++ b/decklb/cli/running.py
@@ -96,3 +96,28 @@
     counts = found.pop("counts")
     _table([["HELD", "VALUE"]] + [[name, str(value)] for name, value in found.items()]
            + [[f"count {name}", str(value)] for name, value in sorted(counts.items())])
+
+
+@click.command()
+@SOCKET
+@SETTINGS
+@JSON
+def zones(socket: str | None, settings: str | None, as_json: bool) -> None:
+    """The zones as the members have decided on them, and where this instance's requests go."""
+    import ujson
+
+    found = _ask(socket, settings, "zones")
+    if as_json:
+        return click.echo(ujson.dumps(found))
+    if not found:
+        return click.echo("traffic is not kept near here: the settings have no <locality>")
+    _table([["ZONE", "REGION", "STATE", "TERM", "SINCE", "UP", "LOAD", "OPEN VOTES"]] + [
+        [z["zone"] + (" *" if z["home"] else ""), z["region"], z["state"], str(z["term"] or "-"), _ago(z["since_ms"]),
+         f"{100 * z['up']:.0f}%", f"{z['load_cores']:g}",
+         " ".join(f"{m}:{v}" for m, v in z["votes"].items()) or "-"] for z in found["zones"]])
+    click.echo(f"{found['near']} requests to the own zone, {found['away']} to others; "
+               f"{found['members']} members known, {found['quorum']} decide")
+    if found["unreached"]:
+        click.echo("not reached from here: " + ", ".join(found["unreached"]))
+    if found["alone"]:
+        click.echo("this instance goes by its own judgement: no quorum reaches it, or its settings say so")
--- a/decklb/cli/serve.py
+++ b/decklb/cli/serve.py
@@ -62,6 +62,10 @@
     if (h := c.handoff) is not None:
         click.echo(f"handoff: {h.copies} voters a key among {h.members} members, a lease of {h.lease:g}ms, budgets "
                    f"up to {h.longest:g}ms; records live {h.life:.0f}ms at most")
+    if (y := c.locality) is not None:
+        click.echo(f"locality: zone {y.zone} of {len(y.region_of)} zones in {len(y.regions)} regions, judged "
+                   f"{'by ' + str(y.members // 2 + 1) + ' members at least' if y.judge == 'common' else 'alone'}, "
+                   f"a state holds {y.hold:g}ms at least")
     if c.control:
         click.echo(f"control: {c.control}")
 
--- a/decklb/cluster/messages.py
+++ b/decklb/cluster/messages.py
@@ -13,6 +13,7 @@
 VERSION = 1
 MOST = 1400  # bytes of a sealed datagram: it crosses usual links whole
 MOST_BODY = 400  # messages in one
+MOST_CARGO = 1100  # bytes of a subsystem's word: it fits with the longest name of a sender
 
 Name = Annotated[str, Meta(min_length=1, max_length=64)]
 Host = Annotated[str, Meta(min_length=1, max_length=64)]
@@ -140,7 +141,14 @@
     rest: Count
 
 
-Message = Ping | Ack | Nack | Ask | Alive | Suspect | Dead | Digest | Same | Want | Row | Result | Disclaim
+class Cargo(Struct, array_like=True, tag=14, frozen=True):
+    """What a subsystem tells its like at another member; the cluster carries it unread, and may lose it."""
+
+    topic: Name
+    data: Annotated[bytes, Meta(max_length=MOST_CARGO)]
+
+
+Message = Ping | Ack | Nack | Ask | Alive | Suspect | Dead | Digest | Same | Want | Row | Result | Disclaim | Cargo
 
 
 class Envelope(Struct, array_like=True, frozen=True):
--- a/decklb/cluster/node.py
+++ b/decklb/cluster/node.py
@@ -15,7 +15,7 @@
 from decklb.cluster import messages as m
 from decklb.cluster.duties import Duties, Start
 from decklb.cluster.membership import LATE, Address, Events, Member, Membership
-from decklb.cluster.messages import ALIVE, DEAD, DOWN, LEFT, SUSPECT, Disclaim, Result, WireError
+from decklb.cluster.messages import ALIVE, DEAD, DOWN, LEFT, SUSPECT, Cargo, Disclaim, Result, WireError
 from decklb.cluster.ownership import Lamport, Ranking
 from decklb.cluster.sealing import Replays, Sealer
 from decklb.cluster.settings import DutySettings, MembershipSettings
@@ -46,6 +46,7 @@
         self.starts: list[Start] = []
         self.probed: list[tuple[str, str, bool]] = []  # kind, subject, whether it is up
         self.notices: list[Notice] = []
+        self.cargo: list[tuple[str, str, bytes]] = []  # topic, sender, data
         self.dropped: Counter[str] = Counter()  # datagrams that could not be opened or read, by reason
         self.sent_bytes = self.sent = self.received = 0
         self._wall = wall - now
@@ -114,6 +115,21 @@
             elif isinstance(message, Disclaim) and (book := self.books.get(message.kind)) is not None \
                     and book.disclaimed(now, message):
                 self._spread(message)
+            elif isinstance(message, Cargo):
+                self.cargo.append((message.topic, envelope.sender, message.data))
+
+    def carry(self, now: float, topic: str, data: bytes) -> None:
+        """Tell all other members that are not known to be gone. Each goes in a datagram of its own: a member of an
+        older version refuses it whole, and must lose nothing else by that."""
+        self.membership.now = now
+        if not self.membership.yielding:
+            packed = m.pack(Cargo(topic, data))
+            for name in self.membership.live.items:
+                self._send(self.membership.members[name].address, [packed])
+
+    def known(self) -> list[str]:
+        """All members that have not left, dead ones for a while too."""
+        return [x.name for x in self.membership.members.values() if x.state != LEFT]
 
     def ended(self, now: float, kind: str, subject: str, ok: bool) -> None:
         """A duty that `starts` asked for has been run."""
--- a/decklb/cluster/runtime.py
+++ b/decklb/cluster/runtime.py
@@ -40,6 +40,7 @@
         self.armed = float("inf")
         self.closed = False
         self.pumping = False
+        self.topics: dict[str, Callable[[str, bytes], None]] = {}  # who takes the words of a subsystem, and its sender
         self.node = Node(settings.membership, [settings.probing] if settings.probing else [], settings.member,
                          settings.told, self._sealer(), random.Random(os.urandom(16)), clock.now(), wall())
 
@@ -97,7 +98,11 @@
             return
         self.pumping = True
         node = self.node
-        while node.out or node.starts or node.probed or node.notices:
+        while node.out or node.starts or node.probed or node.notices or node.cargo:
+            cargo, node.cargo = node.cargo, []
+            for topic, sender, data in cargo:
+                if topic in self.topics:
+                    self.topics[topic](sender, data)
             out, node.out = node.out, []
             for address, data in out:
                 try:
@@ -124,6 +129,12 @@
             self.armed = due
             self.timer = self.clock.call_later(max(0.0, due - self.clock.now()), self._tick)
 
+    def carry(self, topic: str, data: bytes) -> None:
+        """Tell all other members; see Node.carry."""
+        if not self.closed and self.transport is not None:
+            self.node.carry(self.clock.now(), topic, data)
+            self._pump()
+
     def _probe(self, kind: str, engine: str) -> None:
         address = self.addresses.get(engine)
         duty = self.settings.probing
--- a/decklb/config/operators.py
+++ b/decklb/config/operators.py
@@ -20,6 +20,7 @@
 from decklb.config.units import duration, share, size, written
 from decklb.config.xml import read
 from decklb.handoff.settings import HandoffSettings
+from decklb.locality.settings import LocalitySettings
 
 Json = dict[str, Any]
 Convert = Callable[[str], Any]
@@ -62,6 +63,15 @@
     "linger": ("linger", duration), "slack": ("slack", duration)}
 
 
+LOCALITY: dict[str, tuple[str, Convert]] = {
+    "zone": ("zone", str), "members": ("members", int), "judge": ("judge", str), "misses": ("misses", int),
+    "slow": ("slow", float), "tick": ("tick", duration), "look": ("look", duration), "timeout": ("timeout", duration),
+    "fresh": ("fresh", duration), "settle": ("settle", duration), "hold": ("hold", duration),
+    "retry": ("retry", duration), "keep": ("keep", duration), "ramp": ("ramp", duration),
+    "ramp-floor": ("ramp_floor", share), "out": ("out", share), "degraded": ("degraded", share),
+    "full": ("full", share), "panic": ("panic", share)}
+
+
 def _taken(element: etree._Element, names: dict[str, tuple[str, Convert]]) -> Json:
     """The attributes that are given, renamed and converted."""
     return {names[k][0]: names[k][1](v) for k, v in element.attrib.items() if k in names}
@@ -85,7 +95,7 @@
     except ConfigError as error:
         raise SettingsError([Fault(path, 0, str(error))]) from error
     config.cluster, config.control = book.cluster(config.name), book.control()
-    config.handoff = book.handoff()
+    config.handoff, config.locality = book.handoff(), book.locality()
     book.settle()
     return config
 
@@ -306,6 +316,23 @@
                                 f"{written(made.life)} would be right")
         return made
 
+    def locality(self) -> LocalitySettings | None:
+        """The `locality` element: regions and their zones, and what it needs beside it."""
+        element = self.root.find("locality")
+        if element is None:
+            return None
+        if self.root.find("cluster") is None:
+            self.fault(element, "<locality> needs <cluster>: members decide on zones together")
+        regions = tuple((r.attrib["name"], tuple(z.attrib["name"] for z in r)) for r in element)
+        self._once(element, "name", "region")
+        made: LocalitySettings | None = self.check(
+            element, lambda: LocalitySettings(**_taken(element, LOCALITY), regions=regions))
+        listed = {e.get("zone", "") for e in self.root.iterfind("engines/engine")}
+        if made is not None and listed and not listed & made.region_of.keys():
+            self.fault(element, f"<locality>: no engine of <engines> is in any of its zones; theirs are "
+                                f"{', '.join(sorted(repr(z) for z in listed))}")
+        return made
+
     def _told(self, element: etree._Element, attribute: str) -> tuple[str, int] | None:
         """An address of `<cluster>` that members may be told; a wildcard would make them send to themselves."""
         found: tuple[str, int] | None = self.check(element, lambda: address(element.attrib[attribute]))
--- a/decklb/config/platform.py
+++ b/decklb/config/platform.py
@@ -21,6 +21,7 @@
     from decklb.bgp.settings import BgpSettings
     from decklb.cluster.settings import ClusterSettings
     from decklb.handoff.settings import HandoffSettings
+    from decklb.locality.settings import LocalitySettings
     from decklb.pg.settings import PgSettings
 
 SOCKETS = 1024  # where no limit is told
@@ -49,6 +50,7 @@
     bgp: BgpSettings | None
     cluster: ClusterSettings | None = None
     handoff: HandoffSettings | None = None
+    locality: LocalitySettings | None = None
     control: str = ""  # path of the Unix socket that answers operators; none without
 
     @property
--- a/decklb/core/dispatcher.py
+++ b/decklb/core/dispatcher.py
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from decklb import interface as api
-from decklb.core.ports import AnswerSink, Clock, EngineClient, Timer, Work
+from decklb.core.ports import AnswerSink, Clock, EngineClient, Places, Timer, Work
 from decklb.interface import Outcome
 from decklb.rules import Gateway
 
@@ -74,6 +74,7 @@
         self.live: dict[str, Request] = {}
         self.open = 0  # requests that lack their final answer
         self.on_idle: Callable[[], None] = lambda: None
+        self.places: Places | None = None  # given where traffic is kept near
         self._count = 0
         self._pending: list[api.Event] = []
         self._closed: list[str] = []  # answered, and the module may not know yet
@@ -95,8 +96,9 @@
         self.live[r.ident] = r
         self.open += 1
         self._watch(now + work.budget + BACKSTOP, r, -1)
+        zone, zones = ("", None) if self.places is None else self.places.place(work.lane)
         self._post(api.Arrival(r.ident, work.lane, work.tenant, max(0.0, r.deadline - now),
-                               work.tables, work.key))
+                               work.tables, work.key, zone=zone, zones=zones))
         return r
 
     def abandon(self, r: Request) -> None:
@@ -239,6 +241,8 @@
     def _close(self, a: Attempt, outcome: Outcome) -> None:
         a.ended, a.handle = True, None
         r = a.request
+        if self.places is not None and outcome is not Outcome.NOP:
+            self.places.ended(a.engine, r.work.lane, outcome, self.clock.now() - a.started)
         self._post(api.Verdict(r.ident, a.leg, a.engine, outcome, self.clock.now() - a.started, r.answered))
         self._forget(r)
 
--- a/decklb/core/ports.py
+++ b/decklb/core/ports.py
@@ -5,10 +5,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Protocol
 
+from decklb.interface import Outcome
+
 if TYPE_CHECKING:
     from decklb.core.dispatcher import Attempt
 
@@ -74,6 +76,16 @@
         """Its client wants it no more: no answer, and its work ends."""
 
 
+class Places(Protocol):
+    """Where requests had better run: what stands above the module's own choice of an engine."""
+
+    def place(self, lane: str) -> tuple[str, Collection[str] | None]:
+        """For one request of a class: the zone to use first ("" for any), and all that it may use (None for any)."""
+
+    def ended(self, engine: str, lane: str, outcome: Outcome, took: float) -> None:
+        """How an attempt there ended, after that many ms."""
+
+
 class EngineClient(Protocol):
     """Runs attempts; for each it calls `attempt.end` once, unless it is told to give it up first."""
 
--- a/decklb/daemon/assembly.py
+++ b/decklb/daemon/assembly.py
@@ -14,10 +14,12 @@
     from decklb.bgp.speaker import Speaker
     from decklb.cluster.runtime import ClusterService
     from decklb.handoff.runtime import HandoffService
+    from decklb.locality.runtime import LocalityService
     from decklb.net.engines import RespEngines
     from decklb.net.front import Front
     from decklb.pg.engines import PgEngines
     from decklb.pg.front import PgFront
+    from decklb.wire.prober import Prober
 
 
 @dataclass(slots=True)
@@ -65,6 +67,18 @@
         return None
     from decklb.cluster.keyfile import KeyFileError
     from decklb.cluster.runtime import ClusterService
+
+    # Kept from one probe to the next, also where periods are stretched.
+    duty = config.cluster.probing
+    idle = 2.0 * duty.period * duty.minority_factor * duty.cold_factor if duty is not None else 0.0
+    try:
+        return ClusterService(reactor, clock, config.cluster, prober(reactor, clock, config, idle), probed)
+    except KeyFileError as error:
+        raise ConfigError(str(error)) from error
+
+
+def prober(reactor: Any, clock: Clock, config: Config, idle: float) -> Prober:
+    """Probes that speak as the engines do; `idle`: ms without one after which a connection closes."""
     from decklb.wire.prober import ProbeLink, Prober
 
     link: type[ProbeLink]
@@ -73,16 +87,21 @@
 
         link = RespProbe
     else:
-        from decklb.pg import prober
+        from decklb.pg.prober import links
 
-        link = prober.links(config.postgres.startup)
-    # Kept from one probe to the next, also where periods are stretched.
-    duty = config.cluster.probing
-    idle = 2.0 * duty.period * duty.minority_factor * duty.cold_factor if duty is not None else 0.0
-    try:
-        return ClusterService(reactor, clock, config.cluster, Prober(reactor, clock, link, idle), probed)
-    except KeyFileError as error:
-        raise ConfigError(str(error)) from error
+        link = links(config.postgres.startup)
+    return Prober(reactor, clock, link, idle)
+
+
+def locality(reactor: Any, clock: Clock, config: Config, parts: Parts,
+             member: ClusterService | None) -> LocalityService | None:
+    """What keeps traffic near, where there is a section for it; it stands beside the dispatcher."""
+    if config.locality is None or member is None:
+        return None
+    from decklb.locality.runtime import LocalityService
+
+    s = config.locality
+    return LocalityService(clock, s, member, parts.dispatcher, prober(reactor, clock, config, 4 * s.fresh))
 
 
 def handoff(reactor: Any, clock: Clock, config: Config, parts: Parts,
--- a/decklb/daemon/service.py
+++ b/decklb/daemon/service.py
@@ -12,7 +12,7 @@
 
 from decklb.config import Config, ConfigError
 from decklb.core.ports import Timer
-from decklb.daemon.assembly import assemble, cluster, handoff, speaker
+from decklb.daemon.assembly import assemble, cluster, handoff, locality, speaker
 from decklb.daemon.garbage import Collector
 from decklb.interface import Entry, Outcome, Phase
 from decklb.net.directory import Directory
@@ -38,6 +38,7 @@
         self.speaker = speaker(reactor, self.clock, config)
         self.cluster = cluster(reactor, self.clock, config, self._probed)
         self.handoff = handoff(reactor, self.clock, config, parts, self.cluster)
+        self.locality = locality(reactor, self.clock, config, parts, self.cluster)
         self.directory = Directory(self.clock, config.resolver, self.rng.randrange, self._list)
         self.up = 0  # engines that the list calls up
         self.listening = self.stopping = self.late = False
@@ -62,6 +63,8 @@
             self.cluster.start()
         if self.handoff is not None:
             self.handoff.start()
+        if self.locality is not None:
+            self.locality.start()
         if c.control:
             self._open_control(c.control)
         self._say()
@@ -74,7 +77,8 @@
     def _open_control(self, path: str) -> None:
         from decklb.daemon.control import listen
 
-        listen(self.reactor, path, {"members": self._members, "duties": self._duties, "handoff": self._handoff})
+        listen(self.reactor, path, {"members": self._members, "duties": self._duties, "handoff": self._handoff,
+                                     "zones": self._zones})
 
     def _members(self) -> dict[str, Any]:
         if self.cluster is None:
@@ -87,6 +91,9 @@
     def _handoff(self) -> dict[str, Any]:
         return {} if self.handoff is None else self.handoff.keeper.health()
 
+    def _zones(self) -> dict[str, Any]:
+        return {} if self.locality is None else self.locality.rows()
+
     def _probed(self, engine: str, up: bool) -> None:
         """What the members hold of an engine that the list calls up."""
         self.dispatcher.probed(engine, Outcome.GOOD if up else Outcome.NOCONN)
@@ -104,7 +111,7 @@
             return logger.error("SIGHUP: configuration kept, the new one can't be used: {error}",
                                 event="reload-refused", error=repr(error))
         kept = [name for name in ("name", "listen", "sockets", "memory", "settings", "limits", "postgres", "bgp",
-                                 "cluster", "handoff", "control")
+                                 "cluster", "handoff", "locality", "control")
                 if getattr(new, name) != getattr(self.config, name)]
         if kept:
             logger.warning("SIGHUP: a restart is needed for a change of {parts}", event="reload-partial",
@@ -141,6 +148,8 @@
             until = time.time() * 1000.0 - self.clock.now() + self.config.settings.cold
             self.cluster.engines({e.engine: e.ready_at + until if e.ready_at else 0.0 for e in entries},
                                  {e.engine for e in entries if e.phase is Phase.UP}, addresses)
+        if self.locality is not None:
+            self.locality.engines(entries, addresses)
         self._say()
 
     def terminate(self, *_: object) -> None:
@@ -160,6 +169,8 @@
     def _leave(self) -> None:
         if self.handoff is not None:
             self.handoff.close()
+        if self.locality is not None:
+            self.locality.close()
         if self.cluster is not None:
             self.cluster.close()
 
--- a/decklb/interface.py
+++ b/decklb/interface.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -156,6 +157,8 @@
     cost: float = 0.0
     need: float = 0.0
     repeat: bool = False
+    zone: str = ""  # where it had better run; "" for any
+    zones: Collection[str] | None = None  # all that it may use beside what its class says; None for any
 
 
 @dataclass(slots=True)
--- a/decklb/lab/locality.py
+++ b/decklb/lab/locality.py
@@ -8,16 +8,18 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
-from decklb.locality.settings import LocalitySettings
+from decklb.locality.council import Council
+from decklb.locality.runtime import LARGE
+from decklb.locality.settings import ALONE, COMMON, LocalitySettings
 from decklb.locality.spill import Place, shares, usable
-from decklb.locality.zones import Ballot, Decided, State, View, Zones
+from decklb.locality.zones import State, View
 
 STEP = 250.0  # ms between ticks of a member
 CASES = ("lost", "parted", "slow", "region", "halves", "liar", "flicker")
 STRUCK, MENDED, END = 10_000.0, 25_000.0, 60_000.0
-LOSS, DELAY = 0.05, 40.0  # share of words lost; ms of delay at most
+LOSS = 0.05  # share of words lost
 
 
 @dataclass(slots=True)
@@ -40,20 +42,24 @@
     """One run."""
     if case not in CASES:
         raise ValueError(f"no case {case!r}; one of {', '.join(CASES)}")
-    s, rng, told = settings or LocalitySettings(), random.Random(f"{case}/{seed}"), Told(case, common, seed)
+    rng, told = random.Random(f"{case}/{seed}"), Told(case, common, seed)
     names = [f"z{i}" for i in range(zones)]
     region = {z: f"r{i // 2}" for i, z in enumerate(names)}
+    regions = tuple((r, tuple(z for z in names if region[z] == r)) for r in sorted(set(region.values())))
+    s = replace(settings or LocalitySettings(), regions=regions, zone=names[0], members=managers,
+                judge=COMMON if common else ALONE)
     home = {f"m{i}": names[i % zones] for i in range(managers)}
-    members = {m: Zones(s, m, names, 0.0) for m in home}
+    members = {m: Council(replace(s, zone=home[m]), m, 0.0) for m in home}
     for m in members:
-        members[m].members(home if common else (m,))
+        members[m].members(home)
     sick = rng.choice(names)
     struck = {z for z in names if region[z] == region[sick]} if case == "region" else {sick}
     parted = set(rng.sample(sorted(m for m in home if home[m] != sick), managers // 4))
     half = set(rng.sample(sorted(home), managers // 2))
     liar = rng.choice(sorted(home))
     capacity, load = 1000.0, 600.0
-    waiting: list[tuple[float, str, str, Ballot | Decided]] = []
+    waiting: dict[int, list[tuple[str, str, bytes]]] = {}  # by the step at which they arrive
+    every = max(1, round(managers / LARGE))  # steps between two ticks of a member, as in the program
     held: dict[tuple[str, str], State] = {}
     out_at: dict[str, float] = {}
     sent = strayed = failed = now = 0.0
@@ -62,7 +68,9 @@
         flick = case == "flicker" and broken and int(now / 1500.0) % 2 == 0
         truth = {z: 0.0 if (case in ("lost", "region", "halves") and broken or flick) and z in struck else 1.0
                  for z in names}
-        for m, z_of in members.items():
+        step = round(now / STEP)
+        ticking = {m: z_of for i, (m, z_of) in enumerate(members.items()) if (step + i) % every == 0}
+        for m, z_of in ticking.items():
             for z in names:
                 up = truth[z]
                 if case == "parted" and broken and m in parted and z == sick:
@@ -70,23 +78,23 @@
                 if case == "liar" and m == liar and z == sick:
                     up = 0.0
                 slowness = 6.0 if case == "slow" and broken and z == sick else 1.0
-                z_of.saw(now, z, View(up, rng.random() * 0.05, slowness * rng.uniform(0.9, 1.2)))
-        due = [w for w in waiting if w[0] <= now]
-        waiting = [w for w in waiting if w[0] > now]
-        for _, sender, receiver, word in due:
-            members[receiver].hear(now, word, sender)
-        for m, z_of in members.items():
+                z_of.saw(now, z, View(up, rng.random() * 0.05, slowness * rng.uniform(0.9, 1.2),
+                                      up >= 1.0 and z != home[m]))
+        for sender, receiver, word in waiting.pop(step, ()):
+            members[receiver].hear(now, sender, word)
+        for m, z_of in ticking.items():
             z_of.tick(now)
             words, z_of.out = z_of.out, []
             for other in members if common else ():
                 split = case == "halves" and broken and (m in half) != (other in half)
                 if other != m and not split:
-                    waiting += [(now + rng.uniform(1.0, DELAY), m, other, w) for w in words if rng.random() >= LOSS]
+                    # A member takes words at its next look, whatever within a step their delay was.
+                    waiting.setdefault(step + 1, []).extend((m, other, w) for w in words if rng.random() >= LOSS)
         # The fluid: each manager's callers' requests, where its own states send them.
         arriving = dict.fromkeys(names, 0.0)
         mine = load * zones / managers
         for m, z_of in members.items():
-            places = {z: Place(region[z], capacity, load, *z_of.state(z, now)) for z in names}
+            places = {z: Place(region[z], capacity, load, *z_of.state(z), z_of.up(z, now)) for z in names}
             routed = shares(home[m], places, now, s)
             for z, share in routed.items():
                 arriving[z] += mine * share
@@ -103,7 +111,7 @@
             failed += max(0.0, arriving[z] - bears)
         for m, z_of in members.items():
             for z in names:
-                state = z_of.state(z, now)[0]
+                state = z_of.state(z)[0]
                 if state is not held.get((m, z), State.HEALTHY):
                     held[m, z] = state
                     told.changes += 1
--- a/decklb/lab/outage.py
+++ b/decklb/lab/outage.py
@@ -85,6 +85,7 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self.lines: list[str] = []
+        self.stamps: list[float] = []  # when each line was read, on the machine's monotonic clock
         self.child: asyncio.subprocess.Process
         self._reader: asyncio.Task[None] | None = None
 
@@ -100,6 +101,7 @@
         assert self.child.stdout is not None
         while line := await self.child.stdout.readline():
             self.lines.append(line.decode("utf-8", "replace"))
+            self.stamps.append(time.monotonic())
 
     async def says(self, pattern: str) -> re.Match[str]:
         """The first line that matches, or a fault where the process ends or says nothing for long."""
@@ -143,32 +145,46 @@
         for i in range(self.setup.engines):
             e = Process(f"e{i}")
             self.engines.append(e)
-            await e.start("decklb.lab.witness", e.name, str(self.setup.managers), str(self.folder / f"{e.name}.log"))
-            ports = ujson.loads((await e.says(r"^(\[.*\])"))[1])
-            targets[e.name] = {n: ("127.0.0.1", p) for n, p in zip(self.names, ports, strict=True)}
+            targets[e.name] = {n: ("127.0.0.1", p) for n, p in zip(self.names, await self.serve(e), strict=True)}
         self.binds = {n: (self.host[n], _free(self.host[n])) for n in self.names}
         self.rig = Rig(self.binds, self.seed, targets)
         await self.rig.open()
         keyfile.write(str(self.folder / "keys.json"), [keyfile.make()])
         await asyncio.gather(*(self.up(n) for n in self.names))
 
-    async def up(self, name: str) -> None:
-        """Start a manager, at first or again."""
-        s, path = self.setup, self.folder / f"{name}.xml"
+    async def serve(self, engine: Process, ports: list[int] | None = None) -> list[int]:
+        """Start an engine, at first or again where it was; the ports, one for each manager."""
+        await engine.start("decklb.lab.witness", engine.name, str(self.setup.managers),
+                           str(self.folder / f"{engine.name}.log"), *([ujson.dumps(ports)] if ports else []))
+        found: list[int] = ujson.loads((await engine.says(r"^(\[.*\])"))[1])
+        return found
+
+    def program(self, name: str) -> tuple[str, ...]:
+        """What runs as a manager."""
+        return ("decklb.lab.jumpy",)
+
+    def settings(self, name: str) -> str:
+        """A manager's XML."""
+        s = self.setup
         engines = "".join('<engine id="{}" address="{}:{}" zone="z" kind="k" weight="8"/>'.format(
             e.name, *self.rig.gates[name, e.name]) for e in self.engines)
-        path.write_text(SETTINGS.format(
+        return SETTINGS.format(
             name=name, bind="{}:{}".format(*self.binds[name]), told="{}:{}".format(*self.rig.told[name]),
             keys="keys.json", engines=engines,
             seeds="".join("<seed>{}:{}</seed>".format(*a) for a in self.rig.told.values()),
             members=s.managers, lease=f"{s.lease:g}", longest=f"{s.longest:g}", linger=f"{s.linger:g}",
-            socket=f"{name}.sock", data=f' data="{name}.data"' if s.data else ""))
+            socket=f"{name}.sock", data=f' data="{name}.data"' if s.data else "")
+
+    async def up(self, name: str) -> None:
+        """Start a manager, at first or again."""
+        path = self.folder / f"{name}.xml"
+        path.write_text(self.settings(name))
         if name in self.managers:
             self.spoken += self.managers[name].lines
         p = self.managers[name] = Process(name)
-        await p.start("decklb.lab.jumpy", "serve", "--settings", str(path), "--log-level", "DEBUG")
+        await p.start(*self.program(name), "serve", "--settings", str(path), "--log-level", "DEBUG")
         self.ports[name] = int((await p.says(r"listens on [\d.]+:(\d+)"))[1])
-        if not (s.data and name in self.since):
+        if not (self.setup.data and name in self.since):
             self.since[name] = time.monotonic()
 
     async def remember(self) -> None:
--- /dev/null
+++ b/decklb/lab/regions.py
@@ -0,0 +1,290 @@
+"""Fault runs of the locality between real processes: managers and engines in three zones of two regions, a zone lost,
+cut off from some, slow, and so on, with the managers judging in common or each alone. On loopback, bounded; see
+docs/faults.md.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import signal
+import struct
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+import ujson
+
+from decklb.daemon.control import ask
+from decklb.lab.faults import Link
+from decklb.lab.outage import Fleet, Process, Setup
+from decklb.lab.zonal import Change, Judged, Sent, judge
+from decklb.locality.settings import LocalitySettings
+from decklb.pg import messages as pg
+
+HOMES = ("z0", "z0", "z1", "z1", "z2")  # of the managers
+REGION = {"z0": "r0", "z1": "r0", "z2": "r1"}
+CORES, EACH = 8, 2  # cores of an engine, engines of a zone
+RATE = 40.0  # requests a second of each zone's callers
+WORK = (120, 160, 200)  # ms of a request
+DEADLINE, SLACK = 4.0, 0.5  # seconds
+STRUCK, MENDED, END = 3.0, 9.0, 20.0  # seconds from the start of the load
+CASES = ("lost", "parted", "slow", "region", "halves", "clocks", "liar")
+LOCALITY = LocalitySettings(tick=100.0, look=400.0, timeout=400.0, fresh=1200.0, settle=400.0, hold=2000.0,
+                            retry=800.0, keep=4000.0, ramp=8000.0,
+                            slow=2.0)
+SETTINGS = """<decklb version="1">
+  <process name="{name}" listen="127.0.0.1:0" sockets="1024"/>
+  <classes><class name="read" aim="1s" stretch="2" deadline="4s" semantics="idempotent"/></classes>
+  <tenants><tenant name="cusco" share="100%"/></tenants>
+  <kinds><kind name="k" cores="{cores}"/></kinds>
+  <rules tick="2ms" balancers="2" max-attempts="4" cancelling="true" retry-after="200ms" cold="10ms" cold-share="100%"
+         drain-grace="1s" extra-floor="50" extra-share="50%" extra-window="5s" fall="1s" overload-factor="3"
+         settle-after-doubt="50ms"/>
+  <engines list="1">{engines}</engines>
+  <postgres user="decklb" connections="64"/>
+  <cluster name="regions" bind="{bind}" advertise="{told}" keys="keys.json" interval="100ms" timeout="45ms"
+           gossip="20ms" exchange="500ms" settle="300ms">{seeds}</cluster>
+  <locality zone="{zone}" members="{members}" judge="{judge}" {figures}>
+    <region name="r0"><zone name="z0"/><zone name="z1"/></region><region name="r1"><zone name="z2"/></region>
+  </locality>
+  <control socket="{name}.sock"/>
+</decklb>
+"""
+
+
+def zone_of(engine: str) -> str:
+    """Engines are numbered through the zones."""
+    return f"z{int(engine[1:]) // EACH}"
+
+
+class Zonal(Fleet):
+    """Five managers and six engines in three zones of two regions."""
+
+    def __init__(self, way: str, seed: int, folder: str, index: int, lie: str = "") -> None:
+        """`way`: how they judge; `lie`: the manager that reports z0 dead."""
+        super().__init__(Setup(managers=len(HOMES), engines=EACH * len(REGION)), seed, folder, index)
+        self.way, self.lie = way, lie
+        self.home = dict(zip(self.names, HOMES, strict=True))
+        self.ports_of: dict[str, list[int]] = {}
+
+    def program(self, name: str) -> tuple[str, ...]:
+        return ("decklb.lab.liar", "z0") if name == self.lie else ("decklb.lab.jumpy",)
+
+    def settings(self, name: str) -> str:
+        s = LOCALITY
+        figures = " ".join(f'{k}="{getattr(s, k):g}ms"' for k in ("tick", "look", "timeout", "fresh", "settle", "hold",
+                                                                  "retry", "keep", "ramp"))
+        figures += f' slow="{s.slow:g}"'
+        engines = "".join('<engine id="{}" address="{}:{}" zone="{}" kind="k" weight="8"/>'.format(
+            e.name, *self.rig.gates[name, e.name], zone_of(e.name)) for e in self.engines)
+        return SETTINGS.format(
+            name=name, cores=CORES, engines=engines, bind="{}:{}".format(*self.binds[name]),
+            told="{}:{}".format(*self.rig.told[name]), zone=self.home[name], members=len(self.names), judge=self.way,
+            seeds="".join("<seed>{}:{}</seed>".format(*a) for a in self.rig.told.values()), figures=figures)
+
+    async def serve(self, engine: Process, ports: list[int] | None = None) -> list[int]:
+        found = await super().serve(engine, ports)
+        self.ports_of[engine.name] = found
+        return found
+
+    async def settled(self) -> None:
+        """Wait until all members know all, and may vote."""
+        end = time.monotonic() + 20.0
+        while time.monotonic() < end:
+            rows = [await asyncio.to_thread(ask, str(self.folder / f"{n}.sock"), "zones") for n in self.names]
+            if all(r["members"] == len(self.names) for r in rows):
+                return await asyncio.sleep((LOCALITY.fresh + LOCALITY.retry) / 1000)
+            await asyncio.sleep(0.1)
+        raise RuntimeError("the members did not find one another")
+
+    def of(self, *zones: str) -> list[Process]:
+        """The engines of zones."""
+        return [e for e in self.engines if zone_of(e.name) in zones]
+
+    async def lose(self, *zones: str) -> None:
+        """All engines of these zones die."""
+        await asyncio.gather(*(e.kill() for e in self.of(*zones)))
+
+    async def give_back(self, *zones: str) -> None:
+        """They return, cold, where they were."""
+        for e in self.of(*zones):
+            e.lines.clear()
+            e.stamps.clear()
+            await self.serve(e, self.ports_of[e.name])
+
+    def link(self, managers: list[str], zone: str, link: Link) -> None:
+        """All ways between these managers and a zone's engines."""
+        for m in managers:
+            for e in self.of(zone):
+                self.rig.set(m, e.name, link)
+                self.rig.set(e.name, m, link)
+
+    def changes(self, start: float) -> list[Change]:
+        """The managers' log lines on zones' states."""
+        made = []
+        for name, p in self.managers.items():
+            for line, at in zip(p.lines, p.stamps, strict=False):
+                if "zone-state zone=" in line:
+                    fields = dict(x.split("=", 1) for x in line.split("zone-state ", 1)[1].split() if "=" in x)
+                    made.append(Change(name, fields["zone"], fields["state"], at - start))
+        return sorted(made, key=lambda c: c.at)
+
+
+@dataclass(slots=True)
+class Session:
+    """A client's connection to one manager, one statement at a time."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    async def run(self, sql: str) -> tuple[str, str]:
+        """The row, or the state of the error."""
+        self.writer.write(pg.pack(b"Q", sql.encode() + b"\0"))
+        row = state = ""
+        while True:
+            kind = await self.reader.readexactly(1)
+            (size,) = struct.unpack(">I", await self.reader.readexactly(4))
+            body = await self.reader.readexactly(size - 4)
+            if kind == b"E":
+                state = pg.read_error(body)["C"]
+            elif kind == b"D":
+                row = body[6:].decode()
+            elif kind == b"Z":
+                return row, state
+
+
+async def _open(port: int) -> Session:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(pg.pack_startup({"user": "u", "decklb.class": "read", "decklb.budget": f"{DEADLINE:g}s"}))
+    while (kind := await reader.readexactly(1)) != b"Z":
+        (size,) = struct.unpack(">I", await reader.readexactly(4))
+        await reader.readexactly(size - 4)
+        if kind == b"E":
+            raise ConnectionError("turned away")
+    await reader.readexactly(5)
+    return Session(reader, writer)
+
+
+class Callers:
+    """The callers of one zone: requests at random moments, spread over the zone's managers."""
+
+    def __init__(self, fleet: Zonal, zone: str, rng: random.Random, start: float) -> None:
+        self.fleet, self.zone, self.rng, self.start = fleet, zone, rng, start
+        self.names = [n for n in fleet.names if fleet.home[n] == zone]
+        self.idle: dict[str, list[Session]] = {n: [] for n in self.names}
+        self.sent: list[Sent] = []
+
+    async def run(self) -> list[Sent]:
+        due, tasks = self.start, []
+        while (due := due + self.rng.expovariate(RATE)) < self.start + END:
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            sent = Sent(f"{self.zone}.{len(self.sent)}", self.zone, self.rng.choice(self.names),
+                        time.monotonic() - self.start, self.rng.choice(WORK))
+            self.sent.append(sent)
+            tasks.append(asyncio.ensure_future(self._one(sent)))
+        await asyncio.gather(*tasks)
+        for sessions in self.idle.values():
+            for s in sessions:
+                s.writer.close()
+        return self.sent
+
+    async def _one(self, sent: Sent) -> None:
+        with contextlib.suppress(TimeoutError, OSError, asyncio.IncompleteReadError):
+            await asyncio.wait_for(self._ask(sent), DEADLINE + SLACK)
+
+    async def _ask(self, sent: Sent) -> None:
+        free = self.idle[sent.manager]
+        session = free.pop() if free else await _open(self.fleet.ports[sent.manager])
+        row, state = await session.run(f"select 1 -- run={sent.key} work={sent.work}")
+        sent.answer, sent.took = (state or "served"), time.monotonic() - self.start - sent.at
+        sent.row = row
+        free.append(session)
+
+
+async def strike(fleet: Zonal, case: str, rng: random.Random, over: bool) -> None:
+    """Begin a case, or end it."""
+    link, down = Link(), set[str]()
+    match case:
+        case "lost":
+            down = {"z0"}
+        case "region":
+            down = {"z0", "z1"}
+        case "parted":
+            if not over:
+                link = Link(cut=True)
+            fleet.link(rng.sample(fleet.names, 2), "z0", link)
+        case "slow":
+            if not over:
+                link = Link(delay=150.0, jitter=20.0)
+            fleet.link(fleet.names, "z0", link)
+        case "halves":
+            down = {"z0"}
+            few = {rng.choice(("m0", "m1")), rng.choice(("m2", "m3"))}
+            for a in fleet.names:
+                for b in fleet.names:
+                    if a != b and (a in few) != (b in few):
+                        fleet.rig.set(a, b, Link(cut=not over))
+        case "clocks":
+            down = {"z0"}
+            for name, number in zip(rng.sample(fleet.names, 2), (signal.SIGUSR1, signal.SIGUSR2), strict=True):
+                fleet.managers[name].signal(signal.SIGWINCH if over else number)
+    if down:
+        await (fleet.give_back if over else fleet.lose)(*sorted(down))
+
+
+async def play(case: str, seed: int, way: str, index: int, logs: str = "") -> Judged:
+    """One run: start, load, strike, mend, judge."""
+    rng = random.Random(f"{case}/{seed}")
+    lie = rng.choice(("m2", "m3", "m4", "m0")) if case == "liar" else ""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Zonal(way, seed, folder, index, lie)
+        try:
+            await fleet.start()
+            await fleet.settled()
+            start = time.monotonic()
+            callers = [Callers(fleet, z, random.Random(f"{case}/{seed}/{z}"), start) for z in REGION]
+            loads = asyncio.gather(*(c.run() for c in callers))
+            hit = random.Random(f"{case}/{seed}/hit")
+            kept = hit.getstate()
+            await asyncio.sleep(max(0.0, start + STRUCK - time.monotonic()))
+            await strike(fleet, case, hit, False)
+            struck = time.monotonic() - start
+            await asyncio.sleep(max(0.0, start + MENDED - time.monotonic()))
+            hit.setstate(kept)  # the same members as were struck
+            await strike(fleet, case, hit, True)
+            mended = time.monotonic() - start
+            sent = [s for x in await loads for s in x]
+            out = {"lost": ("z0",), "halves": ("z0",), "clocks": ("z0",), "region": ("z0", "z1")}.get(case, ())
+            sick = out or (("z0",) if case in ("slow", "parted") else ())
+            told = judge(case, way, seed, sent, fleet.witnessed(), fleet.changes(start), fleet.home, zone_of, out, sick,
+                         (struck, mended, END), start, CORES * EACH, LOCALITY, frozenset((lie,)))
+            told.faults = sum(fleet.logged(x) for x in ("Traceback", "module-failed"))
+            if logs:
+                keep = Path(logs) / f"{case}-{way}-{seed}"
+                keep.mkdir(parents=True, exist_ok=True)
+                for name, p in fleet.managers.items():
+                    (keep / f"{name}.log").write_text("".join(p.lines))
+                (keep / "changes.json").write_text(ujson.dumps([c.__getstate__() for c in fleet.changes(start)]))
+            return told
+        finally:
+            await fleet.stop()
+
+
+async def campaign(cases: list[str], seeds: list[int], ways: list[str], fleets: int,
+                   told: Callable[[Judged], None], logs: str = "") -> list[Judged]:
+    """All cases and seeds, each with every way of judging, a few fleets side by side."""
+    left = iter([(c, s, w) for c in cases for s in seeds for w in ways])
+    made: list[Judged] = []
+
+    async def one(index: int) -> None:
+        for case, seed, way in left:
+            run = await play(case, seed, way, index, logs)
+            made.append(run)
+            told(run)
+
+    await asyncio.gather(*(one(i) for i in range(fleets)))
+    return made
--- a/decklb/lab/witness.py
+++ b/decklb/lab/witness.py
@@ -1,10 +1,10 @@
 """Stand-in PostgreSQL engines in a process of their own, which write down each run of a statement: the fault runs'
 witnesses.
 
-`python -m decklb.lab.witness NAME MANAGERS LOG` listens on one port for each manager, so that a run can be laid at the
-manager that sent it, prints the ports as JSON, and serves until it is killed. A statement says what it costs in a
-comment: `select 1 -- run=KEY work=MS`. As on real engines, a run goes on when its connection ends, and ends early when
-it is cancelled.
+`python -m decklb.lab.witness NAME MANAGERS LOG [PORTS]` listens on one port for each manager, so that a run can be laid
+at the manager that sent it, prints the ports as JSON, and serves until it is killed. One that returns is given its
+ports. A statement says what it costs in a comment: `select 1 -- run=KEY work=MS`. As on real engines, a run goes on
+when its connection ends, and ends early when it is cancelled.
 """
 
 from __future__ import annotations
@@ -56,6 +56,8 @@
                 body = await reader.readexactly(size - 4)
                 if kind == b"X":
                     return
+                if kind == b"S":  # a probe
+                    writer.write(pg.READY)
                 if kind == b"Q":
                     writer.write(await self.run(body[:-1].decode(), manager, backend) + pg.READY)
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -85,7 +87,7 @@
                 + pg.pack(b"D", struct.pack(">hi", 1, len(value)) + value) + pg.complete("SELECT 1"))
 
 
-async def main(name: str, managers: int, path: str) -> None:
+async def main(name: str, managers: int, path: str, ports: list[int]) -> None:
     """Serve until killed."""
     with open(path, "a") as log:
         witness = Witness(name, log)
@@ -93,10 +95,11 @@
         def make(manager: int) -> Any:
             return lambda r, w: witness.serve(manager, r, w)
 
-        servers = [await asyncio.start_server(make(i), "127.0.0.1", 0) for i in range(managers)]
+        servers = [await asyncio.start_server(make(i), "127.0.0.1", ports[i]) for i in range(managers)]
         print(ujson.dumps([s.sockets[0].getsockname()[1] for s in servers]), flush=True)
         await asyncio.get_running_loop().create_future()
 
 
 if __name__ == "__main__":
-    asyncio.run(main(sys.argv[1], int(sys.argv[2]), sys.argv[3]))
+    count = int(sys.argv[2])
+    asyncio.run(main(sys.argv[1], count, sys.argv[3], ujson.loads(sys.argv[4]) if len(sys.argv) > 4 else [0] * count))
--- a/decklb/locality/spill.py
+++ b/decklb/locality/spill.py
@@ -22,6 +22,7 @@
     load: float  # requests a second of the callers in it, as all managers report them
     state: State = State.HEALTHY
     since: float = 0.0  # when its state was decided
+    up: float = 1.0  # share of its capacity that members reach
 
 
 def usable(place: Place, now: float, settings: LocalitySettings) -> float:
@@ -49,8 +50,7 @@
     room = {z: usable(p, now, settings) for z, p in open_to.items()}
     total = sum(p.capacity for p in open_to.values())
     if total <= 0 or sum(room.values()) < settings.panic * settings.full * total:
-        # Too little is healthy to bear what the rest would send it: all are used alike, by capacity.
-        return {z: p.capacity / total if total > 0 else 1 / len(open_to) for z, p in open_to.items()}
+        return _alike(open_to, room)
     region = places[home].region if home in places else ""
     near = {z for z, p in open_to.items() if p.region == region and p.state is not State.OUT}
     whole = any(open_to[z].state is not State.RETURNING for z in near)
@@ -71,3 +71,18 @@
         if w > 0:
             made[z] = made.get(z, 0.0) + away * w / sum(weights.values())
     return made
+
+
+def _alike(places: Mapping[str, Place], room: Mapping[str, float]) -> dict[str, float]:
+    """Too little is healthy to bear what the rest would send it: all are used alike, by the capacity that is reached.
+    Only zones that return keep to their budgets: what flees from there would strike them while they are cold."""
+    load = sum(p.load for p in places.values())
+    cold = {z: min(1.0, room[z] / load) if load > 0 else 1.0 for z, p in places.items() if p.state is State.RETURNING}
+    rest = {z: p.capacity * p.up for z, p in places.items() if z not in cold}
+    if sum(rest.values()) <= 0:
+        rest = {z: max(p.capacity, 1e-9) for z, p in places.items() if z not in cold}
+    given = sum(cold.values())
+    if not rest or given > 1.0:
+        return {z: share / given for z, share in cold.items()}
+    return {z: s for z, s in cold.items() if s > 0} | {
+        z: (1.0 - given) * c / sum(rest.values()) for z, c in rest.items() if c > 0}
--- a/decklb/locality/zones.py
+++ b/decklb/locality/zones.py
@@ -2,8 +2,8 @@
 
 Each term of a zone is decided once: a member votes at most once in a term, and a state is decided when more than half
 of all known members voted for it in that term, so two states can't both be. A member votes for what it has seen for a
-while itself; one that saw nothing of the zone lately follows a majority of those that did. One member's bad link, or
-one that lies, moves nothing.
+while itself; one that saw nothing of the zone lately follows most of those that did, and one that only probes it
+follows those whom engines there answered badly or late. One member's bad link, or one that lies, moves nothing.
 """
 
 from __future__ import annotations
@@ -12,6 +12,8 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
+from msgspec import Struct
+
 from decklb.locality.settings import LocalitySettings
 
 
@@ -31,21 +33,27 @@
     up: float  # share of the zone's capacity that the member can reach
     errors: float = 0.0  # share of its attempts there that the engines failed
     slowness: float = 1.0  # latency over what is usual there
+    weak: bool = False  # only probes were sent there, and all were answered: errors of requests don't show
 
+    @property
+    def cut(self) -> bool:
+        """Whether engines that can't be reached are what speaks against the zone; that may be the way to them."""
+        return 1.0 - self.up > self.errors
 
-@dataclass(frozen=True, slots=True)
-class Ballot:
+
+class Ballot(Struct, frozen=True, gc=False):
     """A member's vote, as it is told to all. `state` None: it saw nothing that speaks for a change."""
 
     zone: str
     member: str
     term: int
     state: State | None
-    seen: bool  # whether it has seen the zone lately
+    seen: bool  # whether it has sent requests there lately, or found engines down
+    cut: bool = False  # whether it can't reach them
+    up: float = 1.0  # share of the zone's capacity that it reaches
 
 
-@dataclass(frozen=True, slots=True)
-class Decided:
+class Decided(Struct, frozen=True, gc=False):
     """A state and its term. `age` is ms since it was decided, by the sender's clock."""
 
     zone: str
@@ -91,13 +99,20 @@
         self.known: frozenset[str] = frozenset((me,))
         self.out: list[Ballot | Decided] = []
         self.alone = False  # no quorum was heard for `keep`: this member goes by its own view
+        # A member that starts may have voted in its life before: by then those votes have lapsed everywhere.
+        self.voting_from = now + settings.fresh + settings.retry
         self._heard: dict[str, float] = {}
         self._quorum_at = now
 
     def members(self, known: Collection[str]) -> None:
-        """All members that count, dead or alive: a quorum is more than half of them."""
+        """All members that count, dead or alive: a quorum is more than half of them, and of what the settings say."""
         self.known = frozenset(known) | {self.me}
 
+    @property
+    def quorum(self) -> int:
+        """How many members decide."""
+        return max(len(self.known), self.s.members) // 2 + 1
+
     def saw(self, now: float, zone: str, view: View) -> None:
         """This member's own view."""
         z = self.zones.get(zone)
@@ -118,17 +133,21 @@
             if before is None or word.term >= before[0].term:
                 z.ballots[sender] = word, now
 
-    def state(self, zone: str, now: float) -> tuple[State, float]:
-        """What holds for a zone, and since when: the common decision, or the own view of a member that is alone."""
+    def state(self, zone: str) -> tuple[State, float]:
+        """What was decided for a zone, and when."""
         z = self.zones[zone]
-        if self.alone and z.view is not None and now - z.viewed <= self.s.fresh:
-            return seen_as(z.view, z.state, self.s), z.wanted_since
         return z.state, z.since
 
+    def up(self, zone: str, now: float) -> float:
+        """The share of a zone's capacity that is up: the median of what members reach."""
+        since = now - self.s.fresh
+        shares = sorted([b.up for b, at in self.zones[zone].ballots.values() if at >= since])
+        return shares[len(shares) // 2] if shares else 1.0
+
     def tick(self, now: float) -> None:
         """What time does; to be called a few times a second."""
         reached = 1 + sum(now - at <= self.s.fresh for name, at in self._heard.items() if name in self.known)
-        if 2 * reached > len(self.known):
+        if reached >= self.quorum:
             self._quorum_at, self.alone = now, False
         elif now - self._quorum_at > self.s.keep:
             self.alone = True
@@ -153,11 +172,14 @@
             z.wanted, z.wanted_since = wanted, now
 
     def _vote(self, now: float, name: str, z: Zone) -> None:
-        seen = now - z.viewed <= self.s.fresh
+        view = z.view if now - z.viewed <= self.s.fresh else None
         wish = z.wanted if now - z.wanted_since >= self.s.settle else None
-        if not seen:
-            wish = self._followed(now, z)
-        if wish is not None and now - z.since >= self.s.hold:
+        if view is None or view.weak:
+            seers = [b for b, at in z.ballots.values()
+                     if b.seen and now - at <= self.s.fresh and not (view is not None and b.cut)]
+            if seers or view is None:
+                wish = self._followed(z, seers)
+        if wish is not None and now >= max(z.since + self.s.hold, self.voting_from):
             highest = max([z.term, *(b.term for b, at in z.ballots.values() if now - at <= self.s.fresh)])
             term = max(z.term + 1, highest)
             if z.cast is not None and z.cast[0] >= term:
@@ -167,15 +189,16 @@
             if z.cast is None or z.cast[0] < term:
                 z.cast, z.cast_at = (term, wish), now
         cast = z.cast if z.cast is not None and z.cast[0] > z.term else None
-        ballot = Ballot(name, self.me, cast[0] if cast else z.term, cast[1] if cast else None, seen)
+        ballot = Ballot(name, self.me, cast[0] if cast else z.term, cast[1] if cast else None,
+                        view is not None and not view.weak, view is not None and view.cut,
+                        view.up if view is not None else 1.0)
         z.ballots[self.me] = ballot, now
         self.out.append(ballot)
         if z.term:
             self.out.append(Decided(name, z.term, z.state, max(0.0, now - z.since)))
 
-    def _followed(self, now: float, z: Zone) -> State | None:
+    def _followed(self, z: Zone, seers: list[Ballot]) -> State | None:
         """What most of those that saw the zone lately vote for, for a member that did not."""
-        seers = [b for b, at in z.ballots.values() if b.seen and now - at <= self.s.fresh]
         for state in State:
             if 2 * sum(b.state is state and b.term > z.term for b in seers) > len(seers):
                 return state
@@ -183,11 +206,11 @@
 
     def _count(self, now: float, name: str, z: Zone) -> None:
         tally: dict[tuple[int, State], int] = {}
-        for member, (b, _) in z.ballots.items():
-            if member in self.known and b.state is not None and b.term > z.term:
+        for member, (b, at) in z.ballots.items():
+            if member in self.known and b.state is not None and b.term > z.term and now - at <= self.s.fresh:
                 tally[b.term, b.state] = tally.get((b.term, b.state), 0) + 1
         for (term, state), votes in sorted(tally.items()):
-            if 2 * votes > len(self.known):
+            if votes >= self.quorum:
                 self._decide(now, z, term, state)
                 self.out.append(Decided(name, term, state))
 
--- a/decklb/rules.py
+++ b/decklb/rules.py
@@ -442,7 +442,7 @@
     def _allowed(self, r: Request, x: Engine, ran: Attempt | None) -> bool:
         """Placement, and for a keyed request that may have run the group that drops its repeats."""
         c, e, home = r.spec, x.entry, ran.engine.entry if ran else x.entry
-        if c.zones is not None and e.zone not in c.zones or c.kinds is not None and e.kind not in c.kinds:
+        if r.zones is not None and e.zone not in r.zones or c.kinds is not None and e.kind not in c.kinds:
             return False
         if c.effect is not Effect.KEYED or c.group == "all":
             return True
@@ -468,9 +468,9 @@
             if tried or x.trial and r.spec.effect is not Effect.SAFE or self._cold(x, r.usual.work):
                 continue
             # Another try goes elsewhere, and readers go round an own load on their group, if they can.
-            # Engines that others use first are for when none of the own ones is free.
+            # Engines that others use first, or out of the request's zone, are for when no other is free.
             same = bool(r.legs) and r.legs[-1].engine is x
-            if same or locks and x.loads(r.a.tables) or not x.near:
+            if same or locks and x.loads(r.a.tables) or not x.near or r.a.zone not in ("", x.entry.zone):
                 held.append(x)
             elif self.sighted and self.now - x.read >= self.fresh:
                 if i >= NEAR and len(unseen) > 1:
--- a/decklb/state.py
+++ b/decklb/state.py
@@ -6,6 +6,7 @@
 import struct
 from bisect import bisect_left, bisect_right, insort
 from collections import deque
+from collections.abc import Collection
 from dataclasses import dataclass, field, replace
 from hashlib import blake2b
 from math import gcd
@@ -186,6 +187,11 @@
     stream: bool = False
     spin: float = 0.0  # where in its group's order it starts, by chance
     asked: float = 0.0  # when it first waited for reports
+    zones: Collection[str] | None = None  # all that its class, and what was settled on its way here, let it use
+
+    def __post_init__(self) -> None:
+        mine, its = self.a.zones, self.spec.zones
+        self.zones = its if mine is None else mine if its is None else [z for z in its if z in mine]
 
     def out(self) -> bool:
         """Whether an attempt still lacks its outcome."""
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -87,6 +87,24 @@
         self.clock.go(6000)
         self.assertEqual((sink.answers, len(self.engines.started), self.d.open), ([("served", b"x")], 1, 0))
 
+    def test_what_keeps_traffic_near_is_asked_for_each_request_and_told_of_each_attempt(self):
+        told = []
+
+        class Places:
+            def place(self, lane):
+                return "z1", ("z", "z1")
+
+            def ended(self, engine, lane, outcome, took):
+                told.append((engine, lane, outcome))
+
+        self.d.members([api.Entry(f"e{i}", f"z{i}", "k", 0, api.Phase.UP) for i in range(3)])
+        self.d.places = Places()
+        self.ask()
+        self.run_until_started(1)
+        self.assertEqual(self.engines.started[0].engine, "e1")
+        self.engines.started[0].end(Outcome.GOOD, b"x")
+        self.assertEqual(told, [("e1", "read", Outcome.GOOD)])
+
     def test_a_clients_id_may_repeat(self):
         (_, one), (_, two) = self.ask(), self.ask()
         self.run_until_started(2)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -124,7 +124,7 @@
         return [p for e in self.engines for p in e.said(word)]
 
     def both_serve(self):
-        """Return once each engine has answered: one that died rests for a while, and they need not come back at once."""
+        """Return once each engine has answered: those that died rest for a while, and need not come back at once."""
         for engine in self.engines:
             engine.log.clear()
         while not all(e.said(b"do") for e in self.engines):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -73,6 +73,25 @@
     assert sorted(s.engine for s in sent(actions)) == sorted(order[:2] * 2)
 
 
+def test_a_request_keeps_to_the_zone_drawn_for_it_while_an_engine_there_is_free():
+    g = gateway(engines=4)
+    assert {s.engine for s in sent(g.step(1.0, [ask(str(i), zone="z2") for i in range(8)]))} == {"e2"}
+    g.step(2.0, [api.Probed("e2", Outcome.NOCONN, 0.0)])
+    assert "e2" not in {s.engine for s in sent(g.step(3.0, [ask("x", zone="z2"), ask("y", zone="z2")]))}
+
+
+def test_a_request_never_leaves_the_zones_settled_for_it_nor_those_of_its_class():
+    near = api.ClassSpec("near", aim=1000.0, deadline=5000.0, effect=Effect.SAFE, zones=("z0", "z1"))
+    g = gateway(near, engines=4, max_attempts=4)
+    s = sent(g.step(1.0, [ask("a", "near", zone="z1", zones=("z1", "z2"))]))[0]
+    assert s.engine == "e1"
+    for leg in range(1, 4):  # another try stays too, though there is no other engine
+        again = sent(g.step(leg + 1.0, [end(s, Outcome.FULL, leg=leg - 1)]))
+        assert {x.engine for x in again} <= {"e1"}
+    g.step(10.0, [api.Probed("e1", Outcome.NOCONN, 0.0)])
+    assert not sent(g.step(11.0, [ask("b", "near", zones=("z1", "z3"))]))
+
+
 def test_hash_order_is_shared_by_fronts_and_differs_by_group():
     a, b = gateway(engines=6), gateway(engines=6)
     assert [x.entry.engine for x in a.fleet.order(3)] == [x.entry.engine for x in b.fleet.order(3)]
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -23,6 +23,8 @@
 <tenants><tenant name="t" share="100%"/></tenants>
 """
 CLUSTER = '<cluster name="k" bind="127.0.0.1:7" keys="keys.json"/>\n'
+LOCALITY = ('<locality zone="a" members="5"><region name="r"><zone name="a"/></region>'
+            '<region name="s"><zone name="b"/></region></locality>')
 BROKEN = [  # what follows the head's four lines, the line blamed, words of the fault
     ('<classess/>', 5, "classess"),
     ('<process name="n"/>', 5, "process"),
@@ -57,6 +59,13 @@
     (CLUSTER + '<postgres user="u"/>\n<handoff members="3" copies="9"/>', 7, "from 1 to 8"),
     ('<cluster name="k" bind="127.0.0.1:7" keys="k" lately="5s"/>\n<postgres user="u"/>\n<handoff members="3"/>', 5,
      "for as long as records live"),
+    (LOCALITY, 5, "needs <cluster>"),
+    (CLUSTER + LOCALITY.replace('zone="a"', 'zone="c"', 1), 6, "zone 'c' stands in no region; one of a, b"),
+    (CLUSTER + LOCALITY.replace('members="5"', ''), 6, "'members' is required"),
+    (CLUSTER + LOCALITY.replace('members="5"', 'members="5" out="20%"'), 6, "degraded must be above 0 and below out"),
+    (CLUSTER + LOCALITY.replace('members="5"', 'members="5" fresh="1s"'), 6, "three times tick and look"),
+    (CLUSTER + LOCALITY.replace('name="b"', 'name="a"'), 6, "one region only"),
+    (CLUSTER + LOCALITY + '<engines><engine id="e" address="h:1" zone="z"/></engines>', 6, "no engine of <engines>"),
     (CLUSTER + '<probing cold-factor="0.5"/>', 6, "at least 1"),
     ('<cluster name="k" bind="127.0.0.1:7" keys="k"><seed>nowhere</seed></cluster>', 5, "HOST:PORT"),
     (f'<control socket="{"x" * 150}"/>', 5, "at most 100"),
@@ -111,6 +120,11 @@
         assert c.handoff is not None and c.handoff.members == 3 and c.postgres is not None
         assert c.handoff.data == str(ROOT / "deploy/reportes-1.data")
 
+    def test_locality_example(self):
+        c = config.load(None, str(ROOT / "deploy/locality.xml"))
+        assert c.locality is not None and c.locality.zone == "sala-lima" and c.locality.members == 5
+        assert c.locality.region_of == {"sala-lima": "costa", "sala-callao": "costa", "sala-cusco": "sierra"}
+
     def test_cluster_example(self):
         c = config.load(None, str(ROOT / "deploy/cluster.xml"))
         assert c.cluster is not None and c.cluster.probing is not None and len(c.cluster.seeds) == 3
