Leave requests that were never sent out of the ration: a flood of them widened it past the rule

A second probe at each further attempt: the window of requests taken held 457 where 28 had been sent on (a tenth of the attempts at 7 or more over, a hundredth at 217). To blame: Gateway._arrive, which counts every arrival, and those of no class too, for the ration.

Now a request that closes without an attempt is taken out of the window again, at its own time: those taken back, and those turned away, which errs to the safe side.

--- a/decklb/rules.py
+++ b/decklb/rules.py
@@ -129,9 +129,9 @@
         spec = self.s.classes.get(a.lane)
         if a.req in self.requests:
             return
-        self.taken.add(self.now)
         if spec is None:
             return self.actions.append(api.Fail(a.req))
+        self.taken.add(self.now)
         if a.tenant not in self.tenants:
             self.tenants[a.tenant] = Tenant(api.TenantSpec(a.tenant, 0.0), 1.0 / (len(self.tenants) + 1))
         t, u = self.tenants[a.tenant], self.usual[a.lane]
@@ -159,6 +159,8 @@
         """The request is over; its key's gate and the book of attempts live on until all of them ended."""
         r.done = True
         r.tenant.pull(r)
+        if not r.legs:  # taken back or turned away unsent: a flood of those must not widen the ration
+            self.taken.drop(r.arrived)
         if head := self.keys.advance(r.a.key, self.now + self.s.settle + self.s.tick):
             self._enqueue(head)
         if not r.out():
--- a/decklb/state.py
+++ b/decklb/state.py
@@ -270,6 +270,12 @@
         self.append(now)
         self.since(now - self.span)
 
+    def drop(self, when: float) -> None:
+        """One of that time doesn't count after all, if it is still here."""
+        i = bisect_left(self, when)
+        if i < len(self) and self[i] == when:
+            del self[i]
+
     def since(self, start: float) -> int:
         """How many at or after `start`; what is older is forgotten."""
         while self and self[0] < start:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -73,6 +73,20 @@
     assert sorted(s.engine for s in sent(actions)) == sorted(order[:2] * 2)
 
 
+@pytest.mark.parametrize("flood", ["taken back", "turned away", "of no class"])
+def test_requests_that_were_never_sent_do_not_widen_the_ration(flood):
+    """A client that asks for hundreds at once and takes them back let a manager try 11 times again where 7 were due."""
+    g = gateway(engines=4, extra_floor=2.0, extra_ratio=0.1, extra_window=5000.0)
+    many = [ask(f"f{i}", left=0.0 if flood == "turned away" else 5000.0, lane="?" if flood == "of no class" else "safe")
+            for i in range(200)]
+    g.step(1.0, many + [api.Left(e.req) for e in many if flood == "taken back"])
+    again = 0
+    for i in range(20):
+        s = sent(g.step(10.0 + i, [ask(f"r{i}")]))[0]
+        again += len(sent(g.step(10.5 + i, [end(s, Outcome.CXL)])))
+    assert again == 4
+
+
 def test_a_request_keeps_to_the_zone_drawn_for_it_while_an_engine_there_is_free():
     g = gateway(engines=4)
     assert {s.engine for s in sent(g.step(1.0, [ask(str(i), zone="z2") for i in range(8)]))} == {"e2"}
