--- a/decklb/cli/lab.py
+++ b/decklb/cli/lab.py
@@ -261,17 +261,19 @@
 @click.option("--zones", "count", default=4, show_default=True, type=click.IntRange(2, 100))
 @click.option("--seeds", default=5, show_default=True, type=click.IntRange(1, 1000))
 @click.option("--case", "cases", multiple=True, help="Only these; all by default.")
-def zones(managers: int, count: int, seeds: int, cases: tuple[str, ...]) -> None:
-    """Zones judged in common against each manager judging alone, over paired seeds."""
-    from decklb.lab.locality import CASES, compare
-
-    for case in cases or CASES:
-        try:
-            rows = compare(case, list(range(1, seeds + 1)), managers, count)
-        except ValueError as error:
-            raise click.ClickException(str(error)) from error
-        for row in rows:
-            click.echo("  ".join(f"{name} {value}" for name, value in row.items()))
+@click.option("--workers", default=1, show_default=True, type=click.IntRange(1, 64), help="Processes side by side.")
+@click.option("--plot", "picture", default="", help="File for a plot of the load on the zone that is struck (PNG).")
+def zones(managers: int, count: int, seeds: int, cases: tuple[str, ...], workers: int, picture: str) -> None:
+    """Zones judged in common against each manager judging alone, over paired seeds, on a simulated network."""
+    from decklb.lab.locality import CASES, campaign, plot, table
+
+    if strange := set(cases) - set(CASES):
+        raise click.ClickException(f"no case {min(strange)!r}; one of {', '.join(CASES)}")
+    runs = campaign(list(cases or CASES), list(range(1, seeds + 1)), managers, count, workers)
+    for row in table(runs):
+        click.echo("  ".join(f"{name} {value}" for name, value in row.items()))
+    if picture:
+        plot(runs, picture)
 
 
 @lab.command()
--- a/decklb/lab/locality.py
+++ b/decklb/lab/locality.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import random
+from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field, replace
 
 from decklb.locality.council import Council
@@ -35,6 +36,7 @@
     left: float = 0.0  # share of requests that left a zone that was never struck, and could have borne them
     errors: float = 0.0  # share of requests sent to where nothing answers, or beyond what is borne
     flood: float = 0.0  # highest load on a returning zone over its budget
+    series: list[tuple[float, float, float]] = field(default_factory=list)  # s, load on the zone struck, what it bears
 
 
 def play(case: str, seed: int, common: bool, managers: int = 12, zones: int = 4,
@@ -50,14 +52,16 @@
                 judge=COMMON if common else ALONE)
     home = {f"m{i}": names[i % zones] for i in range(managers)}
     members = {m: Council(replace(s, zone=home[m]), m, 0.0) for m in home}
-    for m in members:
-        members[m].members(home)
+    capacity, load = 1000.0, 600.0
+    mine = load * zones / managers  # requests a second of one manager's callers
+    for council in members.values():
+        council.members(home)
+        council.load = mine
     sick = rng.choice(names)
     struck = {z for z in names if region[z] == region[sick]} if case == "region" else {sick}
     parted = set(rng.sample(sorted(m for m in home if home[m] != sick), managers // 4))
     half = set(rng.sample(sorted(home), managers // 2))
     liar = rng.choice(sorted(home))
-    capacity, load = 1000.0, 600.0
     waiting: dict[int, list[tuple[str, str, bytes]]] = {}  # by the step at which they arrive
     every = max(1, round(managers / LARGE))  # steps between two ticks of a member, as in the program
     held: dict[tuple[str, str], State] = {}
@@ -92,9 +96,9 @@
                     waiting.setdefault(step + 1, []).extend((m, other, w) for w in words if rng.random() >= LOSS)
         # The fluid: each manager's callers' requests, where its own states send them.
         arriving = dict.fromkeys(names, 0.0)
-        mine = load * zones / managers
         for m, z_of in members.items():
-            places = {z: Place(region[z], capacity, load, *z_of.state(z), z_of.up(z, now)) for z in names}
+            demand = z_of.demand(now)
+            places = {z: Place(region[z], capacity, demand[z], *z_of.state(z), z_of.up(z, now)) for z in names}
             routed = shares(home[m], places, now, s)
             for z, share in routed.items():
                 arriving[z] += mine * share
@@ -109,6 +113,8 @@
                 if arriving[z] > 0:
                     told.flood = max(told.flood, arriving[z] / bears)
             failed += max(0.0, arriving[z] - bears)
+            if z == sick:
+                told.series.append((now / 1000.0, arriving[z] / capacity, bears / capacity))
         for m, z_of in members.items():
             for z in names:
                 state = z_of.state(z)[0]
@@ -124,17 +130,54 @@
     return told
 
 
-def compare(case: str, seeds: list[int], managers: int, zones: int) -> list[dict[str, object]]:
-    """Both ways of judging over paired seeds, as two rows."""
+def campaign(cases: list[str], seeds: list[int], managers: int, zones: int, workers: int) -> list[Told]:
+    """All cases and seeds, judged both ways, in processes side by side."""
+    jobs = [(case, seed, common, managers, zones) for case in cases for seed in seeds for common in (False, True)]
+    with ProcessPoolExecutor(workers) as pool:
+        return list(pool.map(_play, jobs))
+
+
+def _play(job: tuple[str, int, bool, int, int]) -> Told:
+    return play(*job)
+
+
+def table(runs: list[Told]) -> list[dict[str, object]]:
+    """A row for each case and way of judging."""
     rows: list[dict[str, object]] = []
-    for common in (False, True):
-        runs = [play(case, seed, common, managers, zones) for seed in seeds]
-        decided = sorted(x for r in runs for x in r.decided)
-        at = {f"out_p{p}_ms": round(decided[min(len(decided) - 1, len(decided) * p // 100)]) if decided else None
-              for p in (50, 99)}
-        rows.append({"case": case, "judged": "common" if common else "alone", "runs": len(runs), **at,
-                     "wrong": sum(r.wrong for r in runs), "changes": sum(r.changes for r in runs) / len(runs),
-                     "left": round(sum(r.left for r in runs) / len(runs), 4),
-                     "errors": round(sum(r.errors for r in runs) / len(runs), 4),
-                     "flood": round(max(r.flood for r in runs), 2)})
+    for case in dict.fromkeys(r.case for r in runs):
+        for common in (False, True):
+            those = [r for r in runs if r.case == case and r.common is common]
+            decided = sorted(x for r in those for x in r.decided)
+            at = {f"out_p{p}_ms": round(decided[min(len(decided) - 1, len(decided) * p // 100)]) if decided else None
+                  for p in (50, 99)}
+            rows.append({"case": case, "judged": "common" if common else "alone", "runs": len(those), **at,
+                         "wrong": sum(r.wrong for r in those), "changes": sum(r.changes for r in those) / len(those),
+                         "left": round(sum(r.left for r in those) / len(those), 4),
+                         "errors": round(sum(r.errors for r in those) / len(those), 4),
+                         "flood": round(max(r.flood for r in those), 2)})
     return rows
+
+
+def plot(runs: list[Told], path: str) -> None:
+    """The load on the zone that is struck, beside what it bears, for the first seed of each case."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    cases = list(dict.fromkeys(r.case for r in runs))
+    figure, axes = pyplot.subplots(len(cases), 1, figsize=(8, 2.2 * len(cases)), sharex=True, squeeze=False)
+    for axis, case in zip(axes[:, 0], cases, strict=True):
+        first = min(r.seed for r in runs if r.case == case)
+        for r in runs:
+            if (r.case, r.seed) == (case, first):
+                t, load, bears = zip(*r.series, strict=True)
+                axis.plot(t, load, label="common" if r.common else "alone", linewidth=1.2)
+                if r.common:
+                    axis.plot(t, bears, label="what the zone bears", color="grey", linestyle=":")
+        axis.set_ylabel(f"{case}\nload of capacity")
+        axis.set_ylim(0, 2)
+    axes[0, 0].legend(loc="upper right", fontsize="small")
+    axes[-1, 0].set_xlabel("seconds")
+    figure.tight_layout()
+    figure.savefig(path, dpi=100)
