Take machines out for work in an order that the managers settle: the plan, its agreement, commands, fault runs

- decklb/maintenance: the plan as a value and its rules; a register that the members agree on (CASPaxos), which loses no change with its proposer and makes none twice; one member's part; the list of engines as the plan lets it be used.
- <maintenance>, `decklb maint request|cancel|back|status`; the control socket takes orders, answered once agreed on.
- decklb lab upkeep: five managers and six engines as processes, seven cases.

Found on the way, each with a test: a manager left twice (its new run began before the step after, and stages were dated by another's clock: runs have numbers now); its own end took away the timer it ran in, and it never left; a proposal that waited went by facts of long ago. Of the rig: an engine's ports taken by others for a moment as it restarts; a killed manager's client asks another, while the engine goes on with what nobody called off.

--- a/decklb/cli/__init__.py
+++ b/decklb/cli/__init__.py
@@ -4,7 +4,7 @@
 
 import click
 
-from decklb.cli import keys, lab, running, serve, trial
+from decklb.cli import keys, lab, maint, running, serve, trial
 
 
 @click.group()
@@ -13,7 +13,7 @@
 
 
 for command in (serve.serve, serve.check, serve.schema, serve.version, running.members, running.duties, running.handoff,
-                running.zones, keys.keys, lab.lab, trial.try_):
+                running.zones, maint.maint, keys.keys, lab.lab, trial.try_):
     main.add_command(command)
 
 __all__ = ["main"]
--- a/decklb/cli/lab.py
+++ b/decklb/cli/lab.py
@@ -315,6 +315,33 @@
         click.echo("  ".join(f"{name} {value}" for name, value in row.items()))
 
 
+@lab.command()
+@click.option("--case", "cases", multiple=True, help="Only these; all by default.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--runs", default=1, show_default=True, type=click.IntRange(1, 100), help="Seeds, from --seed on.")
+@click.option("--fleets", default=1, show_default=True, type=click.IntRange(1, 8), help="Fleets side by side.")
+@click.option("--logs", default="", help="Folder for the logs of all managers.")
+def upkeep(cases: tuple[str, ...], seed: int, runs: int, fleets: int, logs: str) -> None:
+    """Machines taken out by the fleet's plan, as processes, and faults between them; loopback only."""
+    import asyncio
+
+    from decklb.lab import upkeep as lab
+
+    log.set_up("ERROR", "text")
+    if strange := set(cases) - set(lab.CASES):
+        raise click.ClickException(f"no case {min(strange)!r}; one of {', '.join(lab.CASES)}")
+
+    def told(r: lab.Told) -> None:
+        click.echo(f"{r.case:11} seed {r.seed:3}: {r.seconds:5.1f} s, {r.requests} requests, {r.lost} lost, "
+                   f"{r.errors} errors, {r.over_budget} over budget, {len(r.doubled)} doubled, {r.unsafe} unsafe, "
+                   f"{r.overlapping} overlapping, {'clean' if r.clean else 'NOT CLEAN'} {r.doubled or ''} {r.seen}")
+
+    made = asyncio.run(lab.campaign(list(cases or lab.CASES), list(range(seed, seed + runs)), fleets, told, logs))
+    click.echo(f"{len(made)} runs, {sum(r.clean for r in made)} clean, {sum(r.requests for r in made)} requests")
+    if not all(r.clean for r in made):
+        raise SystemExit(1)
+
+
 @lab.command()
 @click.argument("path")
 @click.option("--target", "where", required=True, help="HOST:PORT on loopback.")
--- a/decklb/cli/running.py
+++ b/decklb/cli/running.py
@@ -13,7 +13,7 @@
 JSON = click.option("--json", "as_json", is_flag=True, help="As JSON, for programs.")
 
 
-def _ask(path: str | None, settings: str | None, what: str) -> Any:
+def _ask(path: str | None, settings: str | None, what: str, **more: Any) -> Any:
     from decklb.daemon.control import ControlError, ask
 
     if path is None:
@@ -24,7 +24,7 @@
     if not path:
         raise click.ClickException("the settings have no <control>; give one, or --socket")
     try:
-        return ask(path, what)
+        return ask(path, what, **more)
     except ControlError as error:
         raise click.ClickException(str(error)) from error
 
--- a/decklb/cli/serve.py
+++ b/decklb/cli/serve.py
@@ -66,6 +66,10 @@
         click.echo(f"locality: zone {y.zone} of {len(y.region_of)} zones in {len(y.regions)} regions, judged "
                    f"{'by ' + str(y.members // 2 + 1) + ' members at least' if y.judge == 'common' else 'alone'}, "
                    f"a state holds {y.hold:g}ms at least")
+    if (n := c.maintenance) is not None:
+        click.echo(f"maintenance: {n.most} machines out at a time, {n.most_zone} of a zone, {100 * n.most_share:g}% "
+                   f"of its cores, agreed on by {n.members // 2 + 1} of {n.members} members; {n.drain:g}ms to drain, "
+                   f"{n.warm:g}ms to warm")
     if c.control:
         click.echo(f"control: {c.control}")
 
--- a/decklb/cluster/node.py
+++ b/decklb/cluster/node.py
@@ -118,13 +118,13 @@
             elif isinstance(message, Cargo):
                 self.cargo.append((message.topic, envelope.sender, message.data))
 
-    def carry(self, now: float, topic: str, data: bytes) -> None:
-        """Tell all other members that are not known to be gone. Each goes in a datagram of its own: a member of an
-        older version refuses it whole, and must lose nothing else by that."""
+    def carry(self, now: float, topic: str, data: bytes, to: str = "") -> None:
+        """Tell a member, or all others that are not known to be gone. Each goes in a datagram of its own: a member of
+        an older version refuses it whole, and must lose nothing else by that."""
         self.membership.now = now
         if not self.membership.yielding:
             packed = m.pack(Cargo(topic, data))
-            for name in self.membership.live.items:
+            for name in self.membership.live.items if not to else [to] if to in self.membership.members else []:
                 self._send(self.membership.members[name].address, [packed])
 
     def known(self) -> list[str]:
--- a/decklb/cluster/runtime.py
+++ b/decklb/cluster/runtime.py
@@ -129,10 +129,10 @@
             self.armed = due
             self.timer = self.clock.call_later(max(0.0, due - self.clock.now()), self._tick)
 
-    def carry(self, topic: str, data: bytes) -> None:
-        """Tell all other members; see Node.carry."""
+    def carry(self, topic: str, data: bytes, to: str = "") -> None:
+        """Tell a member, or all others; see Node.carry."""
         if not self.closed and self.transport is not None:
-            self.node.carry(self.clock.now(), topic, data)
+            self.node.carry(self.clock.now(), topic, data, to)
             self._pump()
 
     def _probe(self, kind: str, engine: str) -> None:
--- a/decklb/config/operators.py
+++ b/decklb/config/operators.py
@@ -21,6 +21,7 @@
 from decklb.config.xml import read
 from decklb.handoff.settings import HandoffSettings
 from decklb.locality.settings import LocalitySettings
+from decklb.maintenance.settings import MaintenanceSettings
 
 Json = dict[str, Any]
 Convert = Callable[[str], Any]
@@ -72,6 +73,14 @@
     "full": ("full", share), "panic": ("panic", share)}
 
 
+MAINTENANCE: dict[str, tuple[str, Convert]] = {
+    "members": ("members", int), "most": ("most", int), "most-zone": ("most_zone", int),
+    "most-share": ("most_share", share), "reserve": ("reserve", share), "drain": ("drain", duration),
+    "warm": ("warm", duration), "window": ("window", duration), "tick": ("tick", duration),
+    "patience": ("patience", duration), "fresh": ("fresh", duration), "absent": ("absent", duration),
+    "kept": ("kept", int)}
+
+
 def _taken(element: etree._Element, names: dict[str, tuple[str, Convert]]) -> Json:
     """The attributes that are given, renamed and converted."""
     return {names[k][0]: names[k][1](v) for k, v in element.attrib.items() if k in names}
@@ -95,7 +104,7 @@
     except ConfigError as error:
         raise SettingsError([Fault(path, 0, str(error))]) from error
     config.cluster, config.control = book.cluster(config.name), book.control()
-    config.handoff, config.locality = book.handoff(), book.locality()
+    config.handoff, config.locality, config.maintenance = book.handoff(), book.locality(), book.maintenance()
     book.settle()
     return config
 
@@ -333,6 +342,19 @@
                                 f"{', '.join(sorted(repr(z) for z in listed))}")
         return made
 
+    def maintenance(self) -> MaintenanceSettings | None:
+        """The `maintenance` element, and what it needs beside it."""
+        element = self.root.find("maintenance")
+        if element is None:
+            return None
+        if self.root.find("locality") is None:
+            self.fault(element, "<maintenance> needs <locality>: its budgets go by what members see of zones and load")
+        if self.root.find("control") is None:
+            self.fault(element, "<maintenance> needs <control>: operators ask for machines over it")
+        made: MaintenanceSettings | None = self.check(element,
+                                                      lambda: MaintenanceSettings(**_taken(element, MAINTENANCE)))
+        return made
+
     def _told(self, element: etree._Element, attribute: str) -> tuple[str, int] | None:
         """An address of `<cluster>` that members may be told; a wildcard would make them send to themselves."""
         found: tuple[str, int] | None = self.check(element, lambda: address(element.attrib[attribute]))
--- a/decklb/config/platform.py
+++ b/decklb/config/platform.py
@@ -22,6 +22,7 @@
     from decklb.cluster.settings import ClusterSettings
     from decklb.handoff.settings import HandoffSettings
     from decklb.locality.settings import LocalitySettings
+    from decklb.maintenance.settings import MaintenanceSettings
     from decklb.pg.settings import PgSettings
 
 SOCKETS = 1024  # where no limit is told
@@ -51,6 +52,7 @@
     cluster: ClusterSettings | None = None
     handoff: HandoffSettings | None = None
     locality: LocalitySettings | None = None
+    maintenance: MaintenanceSettings | None = None
     control: str = ""  # path of the Unix socket that answers operators; none without
 
     @property
--- a/decklb/daemon/assembly.py
+++ b/decklb/daemon/assembly.py
@@ -15,6 +15,7 @@
     from decklb.cluster.runtime import ClusterService
     from decklb.handoff.runtime import HandoffService
     from decklb.locality.runtime import LocalityService
+    from decklb.maintenance.runtime import MaintenanceService
     from decklb.net.engines import RespEngines
     from decklb.net.front import Front
     from decklb.pg.engines import PgEngines
@@ -104,6 +105,19 @@
     return LocalityService(clock, s, member, parts.dispatcher, prober(reactor, clock, config, 4 * s.fresh))
 
 
+def maintenance(reactor: Any, clock: Clock, config: Config, parts: Parts, member: ClusterService | None,
+                near: LocalityService | None, changed: Callable[[], None],
+                leave: Callable[[], None]) -> MaintenanceService | None:
+    """What takes machines out for work, where there is a section for it."""
+    if config.maintenance is None or member is None or near is None:
+        return None
+    from decklb.maintenance.runtime import MaintenanceService
+
+    s = config.maintenance
+    return MaintenanceService(clock, s, member, near, parts.dispatcher, prober(reactor, clock, config, 4 * s.fresh),
+                              changed, leave)
+
+
 def handoff(reactor: Any, clock: Clock, config: Config, parts: Parts,
             member: ClusterService | None) -> HandoffService | None:
     """What takes over work in hand, where there is a section for it; it stands between front and dispatcher."""
--- a/decklb/daemon/service.py
+++ b/decklb/daemon/service.py
@@ -12,7 +12,7 @@
 
 from decklb.config import Config, ConfigError
 from decklb.core.ports import Timer
-from decklb.daemon.assembly import assemble, cluster, handoff, locality, speaker
+from decklb.daemon.assembly import assemble, cluster, handoff, locality, maintenance, speaker
 from decklb.daemon.garbage import Collector
 from decklb.interface import Entry, Outcome, Phase
 from decklb.net.directory import Directory
@@ -39,6 +39,9 @@
         self.cluster = cluster(reactor, self.clock, config, self._probed)
         self.handoff = handoff(reactor, self.clock, config, parts, self.cluster)
         self.locality = locality(reactor, self.clock, config, parts, self.cluster)
+        self.maintenance = maintenance(reactor, self.clock, config, parts, self.cluster, self.locality, self._relist,
+                                       self.terminate)
+        self.listed: tuple[list[Entry], dict[str, tuple[str, int]]] = [], {}  # the list as the directory has it
         self.directory = Directory(self.clock, config.resolver, self.rng.randrange, self._list)
         self.up = 0  # engines that the list calls up
         self.listening = self.stopping = self.late = False
@@ -65,6 +68,8 @@
             self.handoff.start()
         if self.locality is not None:
             self.locality.start()
+        if self.maintenance is not None:
+            self.maintenance.start()
         if c.control:
             self._open_control(c.control)
         self._say()
@@ -77,8 +82,10 @@
     def _open_control(self, path: str) -> None:
         from decklb.daemon.control import listen
 
+        plan = self.maintenance
         listen(self.reactor, path, {"members": self._members, "duties": self._duties, "handoff": self._handoff,
-                                     "zones": self._zones})
+                                    "zones": self._zones, "plan": lambda: {} if plan is None else plan.status()},
+               {} if plan is None else {"plan-request": plan.ask, "plan-cancel": plan.cancel, "plan-back": plan.back})
 
     def _members(self) -> dict[str, Any]:
         if self.cluster is None:
@@ -111,7 +118,7 @@
             return logger.error("SIGHUP: configuration kept, the new one can't be used: {error}",
                                 event="reload-refused", error=repr(error))
         kept = [name for name in ("name", "listen", "sockets", "memory", "settings", "limits", "postgres", "bgp",
-                                 "cluster", "handoff", "locality", "control")
+                                 "cluster", "handoff", "locality", "maintenance", "control")
                 if getattr(new, name) != getattr(self.config, name)]
         if kept:
             logger.warning("SIGHUP: a restart is needed for a change of {parts}", event="reload-partial",
@@ -141,6 +148,9 @@
             self.speaker.announce(self.ready())
 
     def _list(self, entries: list[Entry], addresses: dict[str, tuple[str, int]]) -> None:
+        self.listed = entries, addresses
+        if self.maintenance is not None:
+            entries = self.maintenance.over(entries, addresses)
         self.up = sum(e.phase is Phase.UP for e in entries)
         self.engines.addresses(addresses)
         self.dispatcher.members(entries)
@@ -152,6 +162,10 @@
             self.locality.engines(entries, addresses)
         self._say()
 
+    def _relist(self) -> None:
+        """The plan has changed what may be used of the list."""
+        self._list(*self.listed)
+
     def terminate(self, *_: object) -> None:
         """SIGTERM: not ready from now on, but what is under way to us is still taken."""
         if self.stopping:
@@ -169,6 +183,8 @@
     def _leave(self) -> None:
         if self.handoff is not None:
             self.handoff.close()
+        if self.maintenance is not None:
+            self.maintenance.close()
         if self.locality is not None:
             self.locality.close()
         if self.cluster is not None:
--- a/decklb/lab/regions.py
+++ b/decklb/lab/regions.py
@@ -51,7 +51,7 @@
   <locality zone="{zone}" members="{members}" judge="{judge}" {figures}>
     <region name="r0"><zone name="z0"/><zone name="z1"/></region><region name="r1"><zone name="z2"/></region>
   </locality>
-  <control socket="{name}.sock"/>
+  {more}<control socket="{name}.sock"/>
 </decklb>
 """
 
@@ -70,6 +70,7 @@
         self.way, self.lie = way, lie
         self.home = dict(zip(self.names, HOMES, strict=True))
         self.ports_of: dict[str, list[int]] = {}
+        self.more = ""  # elements of the settings beside those
 
     def program(self, name: str) -> tuple[str, ...]:
         return ("decklb.lab.liar", "z0") if name == self.lie else ("decklb.lab.jumpy",)
@@ -84,12 +85,21 @@
         return SETTINGS.format(
             name=name, cores=CORES, engines=engines, bind="{}:{}".format(*self.binds[name]),
             told="{}:{}".format(*self.rig.told[name]), zone=self.home[name], members=len(self.names), judge=self.way,
-            seeds="".join("<seed>{}:{}</seed>".format(*a) for a in self.rig.told.values()), figures=figures)
+            more=self.more, figures=figures,
+            seeds="".join("<seed>{}:{}</seed>".format(*a) for a in self.rig.told.values()))
 
     async def serve(self, engine: Process, ports: list[int] | None = None) -> list[int]:
-        found = await super().serve(engine, ports)
-        self.ports_of[engine.name] = found
-        return found
+        for _ in range(20):
+            try:
+                found = await super().serve(engine, ports)
+            except RuntimeError:
+                if ports is None:
+                    raise
+                await asyncio.sleep(0.1)  # a connection of somebody else has one of its ports for now
+                continue
+            self.ports_of[engine.name] = found
+            return found
+        raise RuntimeError(f"the ports of {engine.name} stay taken")
 
     async def settled(self) -> None:
         """Wait until all members know all, and may vote."""
@@ -172,15 +182,16 @@
 class Callers:
     """The callers of one zone: requests at random moments, spread over the zone's managers."""
 
-    def __init__(self, fleet: Zonal, zone: str, rng: random.Random, start: float) -> None:
-        self.fleet, self.zone, self.rng, self.start = fleet, zone, rng, start
+    def __init__(self, fleet: Zonal, zone: str, rng: random.Random, start: float, rate: float = RATE,
+                 end: float = END) -> None:
+        self.fleet, self.zone, self.rng, self.start, self.rate, self.end = fleet, zone, rng, start, rate, end
         self.names = [n for n in fleet.names if fleet.home[n] == zone]
         self.idle: dict[str, list[Session]] = {n: [] for n in self.names}
         self.sent: list[Sent] = []
 
     async def run(self) -> list[Sent]:
         due, tasks = self.start, []
-        while (due := due + self.rng.expovariate(RATE)) < self.start + END:
+        while (due := due + self.rng.expovariate(self.rate)) < self.start + self.end:
             await asyncio.sleep(max(0.0, due - time.monotonic()))
             sent = Sent(f"{self.zone}.{len(self.sent)}", self.zone, self.rng.choice(self.names),
                         time.monotonic() - self.start, self.rng.choice(WORK))
--- a/decklb/locality/runtime.py
+++ b/decklb/locality/runtime.py
@@ -81,6 +81,7 @@
         self.timer = self.clock.call_later(self.s.tick * max(1.0, members / LARGE), self._tick)
 
     def _tick(self) -> None:
+        self.timer = None
         now = self.clock.now()
         self.council.members(self.cluster.node.known())
         for zone in self.council.common.zones:
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -8,8 +8,8 @@
 from tests.standins import ROOT
 
 OFF = ("lxml", "msgspec", "cryptography", "xxhash", "numpy", "pyarrow", "matplotlib", "simpy", "rich", "hdrh",
-       "lmdb", "decklb.cluster", "decklb.handoff", "decklb.locality", "decklb.lab", "decklb.pg", "decklb.bgp",
-       "decklb.middleware",
+       "lmdb", "decklb.cluster", "decklb.handoff", "decklb.locality", "decklb.maintenance", "decklb.lab", "decklb.pg",
+       "decklb.bgp", "decklb.middleware",
        "decklb.daemon.control", "decklb.config.xml", "decklb.config.operators", "decklb.wire.prober",
        "decklb.net.prober")
 CODE = """
@@ -52,8 +52,9 @@
                 assert name not in text.replace(".open(", "").replace("def open(", ""), f"{path.name}: {name}"
 
 
-def test_decisions_of_handoff_and_locality_know_no_io():
-    for package, io in (("handoff", {"runtime.py", "store.py", "guard.py"}), ("locality", {"runtime.py"})):
+def test_decisions_of_handoff_locality_and_maintenance_know_no_io():
+    for package, io in (("handoff", {"runtime.py", "store.py", "guard.py"}), ("locality", {"runtime.py"}),
+                        ("maintenance", {"runtime.py"})):
         for path in (ROOT / "decklb" / package).glob("*.py"):
             if path.name not in io:
                 for name in ("twisted", "loguru", "import time", "import os", "import socket", "lmdb", " open("):
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -66,6 +66,10 @@
     (CLUSTER + LOCALITY.replace('members="5"', 'members="5" fresh="1s"'), 6, "three times tick and look"),
     (CLUSTER + LOCALITY.replace('name="b"', 'name="a"'), 6, "one region only"),
     (CLUSTER + LOCALITY + '<engines><engine id="e" address="h:1" zone="z"/></engines>', 6, "no engine of <engines>"),
+    ('<maintenance members="5"/>', 5, "needs <locality>"),
+    ('<maintenance members="5"/>', 5, "needs <control>"),
+    (CLUSTER + LOCALITY + '\n<control socket="c"/>\n<maintenance members="5" absent="1s"/>', 8, "at least fresh"),
+    (CLUSTER + LOCALITY + '\n<control socket="c"/>\n<maintenance members="5" most="0"/>', 8, "a whole number from 1"),
     (CLUSTER + '<probing cold-factor="0.5"/>', 6, "at least 1"),
     ('<cluster name="k" bind="127.0.0.1:7" keys="k"><seed>nowhere</seed></cluster>', 5, "HOST:PORT"),
     (f'<control socket="{"x" * 150}"/>', 5, "at most 100"),
@@ -125,6 +129,10 @@
         assert c.locality is not None and c.locality.zone == "sala-lima" and c.locality.members == 5
         assert c.locality.region_of == {"sala-lima": "costa", "sala-callao": "costa", "sala-cusco": "sierra"}
 
+    def test_maintenance_example(self):
+        c = config.load(None, str(ROOT / "deploy/maintenance.xml"))
+        assert c.maintenance is not None and c.maintenance.members == 5 and c.maintenance.most_share == 1.0
+
     def test_cluster_example(self):
         c = config.load(None, str(ROOT / "deploy/cluster.xml"))
         assert c.cluster is not None and c.cluster.probing is not None and len(c.cluster.seeds) == 3
