Close the fault runs' sessions; reckon a returning zone's budget by the mean work of a request

A budget reckoned by the least that a request takes (the module's figure of work) is overdrawn by what the mean is above it. Seen as resource warnings: sessions of ended managers were dropped open.

--- a/decklb/lab/regions.py
+++ b/decklb/lab/regions.py
@@ -210,7 +210,11 @@
     async def _ask(self, sent: Sent) -> None:
         free = self.idle[sent.manager]
         session = free.pop() if free else await _open(self.fleet.ports[sent.manager])
-        row, state = await session.run(f"select 1 -- run={sent.key} work={sent.work}")
+        try:
+            row, state = await session.run(f"select 1 -- run={sent.key} work={sent.work}")
+        except BaseException:  # also where it is waited for no longer: what comes on it then is another's answer
+            session.writer.close()
+            raise
         sent.answer, sent.took = (state or "served"), time.monotonic() - self.start - sent.at
         sent.row = row
         free.append(session)
--- a/decklb/lab/upkeep.py
+++ b/decklb/lab/upkeep.py
@@ -86,7 +86,9 @@
                     sent.answer = ""
                 if sent.answer:
                     return
-                self.idle[name] = []  # what is left of that manager's sessions may be of a process that has ended
+                for session in self.idle[name]:  # what is left of its sessions may be of a process that has ended
+                    session.writer.close()
+                self.idle[name] = []
             await asyncio.sleep(0.05)
 
 
--- a/decklb/locality/runtime.py
+++ b/decklb/locality/runtime.py
@@ -67,8 +67,10 @@
     def place(self, lane: str) -> tuple[str, Collection[str] | None]:
         """For one request of a class: the zone to use first, and all that it may use."""
         self._taken[lane] += 1
-        usual = self.dispatcher.gateway.usual.get(lane)
-        return self.steering.place(self.clock.now(), lane, usual.work if usual is not None else 0.0, self.council)
+        usual, spec = self.dispatcher.gateway.usual.get(lane), self.dispatcher.settings.classes.get(lane)
+        # The mean, not the least that a request takes, by which a budget would be overdrawn.
+        work = usual.hold * spec.threads if usual is not None and spec is not None else 0.0
+        return self.steering.place(self.clock.now(), lane, work, self.council)
 
     def ended(self, engine: str, lane: str, outcome: Outcome, took: float) -> None:
         """How an attempt ended."""
