--- a/decklb/lab/outage.py
+++ b/decklb/lab/outage.py
@@ -115,6 +115,10 @@
             await asyncio.sleep(0.02)
         raise RuntimeError(f"{self.name} did not come up: {''.join(self.lines[-20:])}")
 
+    def code(self) -> int | None:
+        """How it ended; None while it runs, and before it is started."""
+        return self.child.returncode if hasattr(self, "child") else None
+
     def signal(self, number: int) -> None:
         if self.child.returncode is None:
             self.child.send_signal(number)
--- a/decklb/lab/upkeep.py
+++ b/decklb/lab/upkeep.py
@@ -147,7 +147,7 @@
                 self.over += len(self.working) > MOST
                 self.tasks.append(asyncio.ensure_future(self._work_on(name)))
             for name, p in self.managers.items():
-                if p.child.returncode == 0:  # ended by itself; those that were killed are the case's own to start
+                if p.code() == 0:  # ended by itself; those that were killed are the case's own to start
                     await self.up(name)
             await asyncio.sleep(0.1)
 
--- a/decklb/maintenance/conductor.py
+++ b/decklb/maintenance/conductor.py
@@ -24,6 +24,7 @@
     Engine,
     Facts,
     Plan,
+    Stage,
     advance,
     back,
     cancel,
@@ -81,6 +82,7 @@
         self._ticks = 0
         self._seen = Plan()  # of which the log has told
         self._late: set[str] = set()
+        self._went: frozenset[str] = frozenset()  # engines seen down since they are out
         self._leaving = False
         self._now, self._wall = now, 0.0
 
@@ -141,6 +143,8 @@
         self._ticks += 1
         self.register.tick(now)
         self._now, self._wall = now, wall - now
+        out = {x.name for j in self.plan.jobs for x in j.machines if x.stage is Stage.OUT}
+        self._went = frozenset(out & (self._went | own.down))
         idle = not self.register.forgetful and not self.register.busy
         if idle and self.driver == self.me and self._next(self.plan) is not self.plan:
             self.register.propose(self._next, self._stepped, now + 4 * self.s.patience)
@@ -173,7 +177,8 @@
         for name, (zone, cores) in self.engines.items():
             votes = [name not in r.down for r in fresh.values()] + [name not in self.own.down]
             busy = self.own.busy.get(name, 0) + sum(r.busy.get(name, 0) for r in fresh.values())
-            engines[name] = Engine(name, zone, cores, 2 * sum(votes) > len(votes), busy)
+            went = (name in self._went) + sum(name in r.went for r in fresh.values())
+            engines[name] = Engine(name, zone, cores, 2 * sum(votes) > len(votes), busy, went=2 * went > len(votes))
         return Facts(round(wall), engines | self._managers(fresh), self.own.load, self.own.unwell, told)
 
     def machines(self) -> Mapping[str, Engine]:
@@ -201,10 +206,11 @@
         away = {x.name for j in self.plan.jobs for x in j.machines if x.stage in AWAY}
         busy = {n: c for n, c in self.own.busy.items() if n in away and c}
         down = sorted(n for n in self.own.down if n in self.engines)[:1000]
-        gist = (self.plan.steps, self.register.settled_at, tuple(sorted(busy.items())), tuple(down))
+        went = sorted(self._went)
+        gist = (self.plan.steps, self.register.settled_at, tuple(sorted(busy.items())), tuple(down), tuple(went))
         if gist != self._said or self._ticks % QUIET == 0:
             self._said = gist
-            self._send("", m.Report(self.plan.steps, self.register.settled_at, self.boot, busy, down))
+            self._send("", m.Report(self.plan.steps, self.register.settled_at, self.boot, busy, down, went))
 
     def _stepped(self, plan: Plan | Exception) -> None:
         self.counts["steps" if isinstance(plan, Plan) else "undecided"] += 1
--- a/decklb/maintenance/messages.py
+++ b/decklb/maintenance/messages.py
@@ -31,13 +31,15 @@
 
 class Report(Struct, array_like=True, tag=9, frozen=True):
     """A member's word, said again and again: how far it has the plan (`steps`, and the ballot of the newest value that
-    it knows), which run of its process it is, what it has out at machines that are away, and which it can't reach."""
+    it knows), which run of its process it is, what it has out at machines that are away, which engines it can't
+    reach, and which of those that are out it saw down since they are."""
 
     steps: Annotated[int, Meta(ge=0)]
     ballot: tuple[Annotated[int, Meta(ge=0)], str]
     boot: Annotated[int, Meta(ge=0)]
     busy: Annotated[dict[Name, Annotated[int, Meta(ge=0)]], Meta(max_length=1000)]
     down: Annotated[list[Name], Meta(max_length=1000)]
+    went: Annotated[list[Name], Meta(max_length=1000)]
 
 
 Message = Prepare | Promise | Accept | Accepted | Refused | Settled | Read | Held | Report
--- a/decklb/maintenance/plan.py
+++ b/decklb/maintenance/plan.py
@@ -87,6 +87,7 @@
     up: bool = True  # most members reach it
     busy: int = 0  # attempts out there, of all members
     boot: int = 0  # of a manager: which run of its process it is
+    went: bool = False  # most members saw it down at some time since it is out
 
 
 class Facts(Struct, frozen=True):
@@ -216,7 +217,7 @@
         if facts.told and (e is None or e.busy == 0) or age >= settings.drain:
             return _move(plan, m, Stage.OUT, facts.wall)
     elif m.stage is Stage.OUT:
-        if not m.gone and (e is None or not e.up):  # it went down for its work
+        if not m.gone and (e is None or not e.up or e.went):  # it went down for its work, maybe only for a moment
             return _each(plan, lambda j, x: replace(x, gone=True) if x is m else x)
         if e is not None and e.up and (m.gone or e.boot != m.boot):
             return _move(plan, m, Stage.WARMING, facts.wall)
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -263,6 +263,22 @@
         fleet.run(800)
         self.assertEqual(stages(fleet.nodes["m1"].plan), {"a0": "out"})
 
+    def test_a_machine_that_was_down_for_a_moment_while_the_driver_could_not_act_has_come_back(self):
+        """Its driver had just restarted, and waited for the plan to stand out for good."""
+        fleet = Fleet(6)
+        fleet.run(1500)
+        fleet.nodes["m0"].ask("j", ["a0"], "", 0, fleet.now + 5000, lambda x: None)
+        while {stages(c.plan).get("a0") for c in fleet.nodes.values()} != {"out"}:
+            self.assertLess(fleet.now, 9000.0)
+            fleet.run(50)
+        driver = fleet.nodes["m0"].driver
+        fleet.nodes[driver] = fleet.make(driver)  # forgets, and acts on nothing for a while
+        fleet.down = {"a0"}
+        fleet.run(150)
+        fleet.down = set()
+        fleet.run(3000)
+        self.assertEqual({stages(c.plan)["a0"] for c in fleet.nodes.values()}, {"done"})
+
     def test_a_manager_ends_once_at_its_turn_and_not_again_after_its_restart(self):
         fleet, left = Fleet(5), []
         fleet.run(1500)
