--- a/decklb/locality/council.py
+++ b/decklb/locality/council.py
@@ -4,23 +4,16 @@
 from __future__ import annotations
 
 from collections.abc import Collection
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from typing import Any
 
 from decklb.cluster.messages import WireError
+from decklb.cluster.node import Notice
 from decklb.locality import messages as m
 from decklb.locality.settings import ALONE, LocalitySettings
 from decklb.locality.zones import Ballot, Decided, State, View, Zones
 
 
-@dataclass(slots=True)
-class Notice:
-    """Something that operators read in the log."""
-
-    event: str
-    fields: dict[str, Any] = field(default_factory=dict)
-
-
 class Council:
     """What holds of each zone: the common decision, or the own one of a member that is alone."""
 
--- a/decklb/maintenance/conductor.py
+++ b/decklb/maintenance/conductor.py
@@ -16,6 +16,7 @@
 from zlib import crc32
 
 from decklb.cluster.messages import WireError
+from decklb.cluster.node import Notice
 from decklb.maintenance import messages as m
 from decklb.maintenance.plan import (
     AWAY,
@@ -38,14 +39,6 @@
 QUIET = 4  # ticks between words of a member that has nothing new to say
 
 
-@dataclass(slots=True)
-class Notice:
-    """Something that operators read in the log."""
-
-    event: str
-    fields: dict[str, Any] = field(default_factory=dict)
-
-
 @dataclass(slots=True)
 class Own:
     """What this member sees: given at each tick."""
