--- a/decklb/cli/maint.py
+++ b/decklb/cli/maint.py
@@ -73,3 +73,19 @@
     click.echo(f"{found['steps']} steps done so far; the next is {found['driver']}'s to do")
     if not found["remembers"]:
         click.echo("this instance has started and does not know the plan yet")
+
+
+@maint.command()
+@SOCKET
+@SETTINGS
+def plan(socket: str | None, settings: str | None) -> None:
+    """What is still to go, in the order in which it will: those under way first."""
+    found = _ask(socket, settings, "plan") or {"jobs": [], "hold": ""}
+    left = [(j["job"], m) for j in found["jobs"] for m in j["machines"] if m["stage"] not in ("done", "cancelled")]
+    left.sort(key=lambda x: x[1]["stage"] == "waiting")
+    if not left:
+        return click.echo("nothing is to go")
+    _table([["", "MACHINE", "ZONE", "STAGE", "JOB"]] + [
+        [str(i), m["machine"], m["zone"], m["stage"], job] for i, (job, m) in enumerate(left, 1)])
+    if found["hold"]:
+        click.echo(f"waiting: {found['hold']}")
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -2,9 +2,12 @@
 
 import random
 import unittest
+from unittest import mock
 
+from click.testing import CliRunner
 from msgspec.structs import replace
 
+from decklb.cli.maint import maint
 from decklb.cluster.messages import WireError
 from decklb.lab.register import World
 from decklb.lab.upkeep import Step, budget, doubled
@@ -292,6 +295,18 @@
         self.assertEqual((len(left), stages(fleet.nodes["m2"].plan)), (1, {manager("m1"): "done"}))
 
 
+class Commands(unittest.TestCase):
+    def test_the_plan_lists_what_is_still_to_go_with_what_is_under_way_first(self):
+        rows = [("e0", "done"), ("e1", "waiting"), ("e2", "out")]
+        answer = {"hold": "zone b is not well", "jobs": [{"job": "j", "machines": [
+            {"machine": n, "zone": "z", "stage": s} for n, s in rows]}]}
+        with mock.patch("decklb.cli.maint._ask", return_value=answer):
+            said = CliRunner().invoke(maint, ["plan"]).output
+        self.assertEqual([line.split()[1:2] for line in said.splitlines()[1:3]], [["e2"], ["e1"]])
+        self.assertNotIn("e0", said)
+        self.assertIn("waiting: zone b is not well", said)
+
+
 class Verdicts(unittest.TestCase):
     def test_steps_done_twice_or_left_out_and_budgets_are_seen(self):
         good = [Step("m0", "j", "e0", s, i + 1, float(i)) for i, s in enumerate(("draining", "out", "warming", "done"))]
