Log notices, read the list's engines and the wall clock in one place; drop what nothing calls

Read again: the cluster, zones and the plan each logged their notices by the same lines (log_notices); zones and the plan each made zone and cores of the engines in use by the same expression (in_use); the plan had a second wall(). Nothing called upkeep.bound and Register.changes; the plan's runtime emptied a register that its conductor had emptied already.

--- a/decklb/cluster/runtime.py
+++ b/decklb/cluster/runtime.py
@@ -5,14 +5,14 @@
 import os
 import random
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 from loguru import logger
 from twisted.internet.protocol import DatagramProtocol
 
 from decklb.cluster import keyfile
-from decklb.cluster.node import Node
+from decklb.cluster.node import Node, Notice
 from decklb.cluster.sealing import SALT_BYTES, Sealer
 from decklb.cluster.settings import ClusterSettings
 from decklb.core.ports import Clock, Timer
@@ -26,6 +26,13 @@
     return time.time() * 1000.0
 
 
+def log_notices(part: str, notices: Iterable[Notice]) -> None:
+    """One line each, with the notice's event and fields."""
+    for n in notices:
+        text = " ".join(f"{k}={v}" for k, v in n.fields.items())
+        logger.info(part + ": {what} {text}", event=n.event, what=n.event, text=text, **n.fields)
+
+
 class ClusterService(DatagramProtocol):
     """One member. `probed(engine, up)` is told what is held of engines that the list calls up."""
 
@@ -117,10 +124,7 @@
             for _, engine, up in probed:
                 self.probed(engine, up)
             notices, node.notices = node.notices, []
-            for notice in notices:
-                text = " ".join(f"{k}={v}" for k, v in notice.fields.items())
-                logger.info("cluster: {what} {text}", event=notice.event, what=notice.event, text=text,
-                            **notice.fields)
+            log_notices("cluster", notices)
         self.pumping = False
         due = node.due()
         if due < self.armed and not self.closed:
--- a/decklb/lab/upkeep.py
+++ b/decklb/lab/upkeep.py
@@ -399,8 +399,3 @@
 
     await asyncio.gather(*(one(i) for i in range(fleets)))
     return made
-
-
-def bound(machines: int) -> float:
-    """Seconds that the budget allows for so many machines, one at a time."""
-    return machines * (DRAIN + WARM) / 1000 + machines * WORK
--- a/decklb/locality/runtime.py
+++ b/decklb/locality/runtime.py
@@ -9,14 +9,14 @@
 
 from loguru import logger
 
-from decklb.cluster.runtime import ClusterService
+from decklb.cluster.runtime import ClusterService, log_notices
 from decklb.core.dispatcher import Dispatcher
 from decklb.core.ports import Clock, Timer
-from decklb.interface import Entry, Outcome, Phase
+from decklb.interface import Entry, Outcome
 from decklb.locality.council import Council
 from decklb.locality.messages import TOPIC
 from decklb.locality.settings import LocalitySettings
-from decklb.locality.sight import Sight
+from decklb.locality.sight import Sight, in_use
 from decklb.locality.steering import Steering
 from decklb.wire.prober import Address, Prober
 
@@ -53,9 +53,7 @@
     def engines(self, entries: list[Entry], addresses: Mapping[str, Address]) -> None:
         """The list of engines."""
         self.addresses = addresses
-        cores = self.dispatcher.settings.cores
-        self.sight.listed({e.engine: (e.zone, float(max(1, cores.get(e.kind, 1)))) for e in entries
-                           if e.phase is Phase.UP})
+        self.sight.listed(in_use(entries, self.dispatcher.settings.cores))
         self.steering.listed(entries)
         for zone in sorted({e.zone for e in entries} - self.steering.region.keys() - self._strange):
             self._strange.add(zone)
@@ -96,9 +94,7 @@
         for data in out:
             self.cluster.carry(TOPIC, data)
         notices, self.council.notices = self.council.notices, []
-        for n in notices:
-            text = " ".join(f"{k}={v}" for k, v in n.fields.items())
-            logger.info("zones: {what} {text}", event=n.event, what=n.event, text=text, **n.fields)
+        log_notices("zones", notices)
         for engine in self.sight.due(now, len(self.council.common.known)):
             if (address := self.addresses.get(engine)) is not None:
                 self.prober.probe(engine, address, self.s.timeout, self._probed(engine, now))
--- a/decklb/locality/sight.py
+++ b/decklb/locality/sight.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from zlib import crc32
 
-from decklb.interface import Outcome
+from decklb.interface import Entry, Outcome, Phase
 from decklb.locality.settings import LocalitySettings
 from decklb.locality.zones import View
 
@@ -45,6 +45,11 @@
     latency: dict[str, float] = field(default_factory=dict)  # by class
 
 
+def in_use(entries: Iterable[Entry], cores: Mapping[str, int]) -> dict[str, tuple[str, float]]:
+    """Zone and cores of each engine that the list calls up; `cores` by kind."""
+    return {e.engine: (e.zone, float(max(1, cores.get(e.kind, 1)))) for e in entries if e.phase is Phase.UP}
+
+
 class Sight:
     """All zones, as one member sees them."""
 
--- a/decklb/maintenance/register.py
+++ b/decklb/maintenance/register.py
@@ -123,7 +123,6 @@
         self._queue: list[Proposal[V]] = []
         self._highest = 0
         self._own: list[Promise | Accepted | Refused] = []  # answers of this member to itself
-        self.changes = 0  # own ones that were agreed on
 
     @property
     def quorum(self) -> int:
@@ -250,7 +249,6 @@
     def _done(self, p: Proposal[V]) -> None:
         assert p.value is not None and p.made is not None
         self._queue.pop(0)
-        self.changes += 1
         self._settle(p.ballot, p.value)
         self.out.append(("", Settled(p.ballot, p.value)))
         p.done(p.made)
--- a/decklb/maintenance/runtime.py
+++ b/decklb/maintenance/runtime.py
@@ -4,7 +4,6 @@
 
 import os
 import random
-import time
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 from typing import Any
@@ -12,11 +11,12 @@
 from loguru import logger
 from twisted.internet.defer import Deferred
 
-from decklb.cluster.runtime import ClusterService
+from decklb.cluster.runtime import ClusterService, log_notices, wall
 from decklb.core.dispatcher import Dispatcher
 from decklb.core.ports import Clock, Timer
 from decklb.interface import Entry, Phase
 from decklb.locality.runtime import LocalityService
+from decklb.locality.sight import in_use
 from decklb.locality.zones import State
 from decklb.maintenance.conductor import Conductor, Own
 from decklb.maintenance.errors import MaintenanceError
@@ -58,14 +58,12 @@
     def over(self, entries: list[Entry], addresses: Mapping[str, Address]) -> list[Entry]:
         """The list as the plan lets it be used: what is away drains, what has come back is cold."""
         self.addresses = addresses
-        cores = self.dispatcher.settings.cores
-        self.conductor.engines = {e.engine: (e.zone, float(max(1, cores.get(e.kind, 1)))) for e in entries
-                                  if e.phase is Phase.UP}
+        self.conductor.engines = in_use(entries, self.dispatcher.settings.cores)
         away = self.conductor.away()
         return [replace(e, phase=Phase.DRAINING) if e.engine in away and e.phase is Phase.UP
                 else replace(e, ready_at=self._warm[e.engine]) if e.engine in self._warm else e for e in entries]
 
-    # What operators ask; each Deferred ends with a text, or MaintenanceError.
+    # What operators ask; each Deferred ends with the count of steps done, or MaintenanceError.
 
     def ask(self, asked: Mapping[str, Any]) -> Deferred[Any]:
         """`job`, `machines`, `reason`, `window` (ms)."""
@@ -80,16 +78,16 @@
 
     def cancel(self, asked: Mapping[str, Any]) -> Deferred[Any]:
         """`job`."""
-        return self._agreed(lambda until, done: self.conductor.cancel(str(asked.get("job", "")), _wall(), until, done))
+        return self._agreed(lambda until, done: self.conductor.cancel(str(asked.get("job", "")), wall(), until, done))
 
     def back(self, asked: Mapping[str, Any]) -> Deferred[Any]:
         """`machine`."""
-        return self._agreed(lambda until, done: self.conductor.back(str(asked.get("machine", "")), _wall(), until,
+        return self._agreed(lambda until, done: self.conductor.back(str(asked.get("machine", "")), wall(), until,
                                                                        done))
 
     def status(self) -> dict[str, Any]:
         """See Conductor.rows."""
-        return self.conductor.rows(self.clock.now(), _wall())
+        return self.conductor.rows(self.clock.now(), wall())
 
     # Inside.
 
@@ -103,7 +101,6 @@
                 made.errback(plan)
 
         propose(self.clock.now() + WAIT, done)
-        self._pump()
         return made
 
     def _arm(self) -> None:
@@ -121,7 +118,7 @@
         self._misses = {n: c for n, c in self._misses.items() if n in watched}
         down = {n for n, c in self._misses.items() if c >= MISSES}
         down |= {n for n in self.locality.sight.down() if n not in watched}
-        self.conductor.tick(now, _wall(), Own(busy, frozenset(down), council.demand(now), unwell))
+        self.conductor.tick(now, wall(), Own(busy, frozenset(down), council.demand(now), unwell))
         for name in watched - self._asked:
             if (address := self.addresses.get(name)) is not None:
                 self._asked.add(name)
@@ -155,14 +152,11 @@
         self._pump()
 
     def _pump(self) -> None:
-        self.conductor._flush()
         out, self.conductor.out = self.conductor.out, []
         for to, data in out:
             self.cluster.carry(TOPIC, data, to)
         notices, self.conductor.notices = self.conductor.notices, []
-        for n in notices:
-            text = " ".join(f"{k}={v}" for k, v in n.fields.items())
-            logger.info("plan: {what} {text}", event=n.event, what=n.event, text=text, **n.fields)
+        log_notices("plan", notices)
 
     def close(self) -> None:
         """The program ends."""
@@ -171,8 +165,3 @@
         if self.timer is not None:
             self.timer.cancel()
         self.prober.close()
-
-
-def _wall() -> float:
-    """Unix time in ms."""
-    return time.time() * 1000.0
