Keep the plan of maintenance on disk, and let slow members delay its agreement, not stop it

With five busy loops beside four fleets an operator's order found no majority in 8 s. Ruled out: lost datagrams (every promise came) and two proposers that outbid each other (no refusal in 1,145 answers).

- Each try in vain doubles the wait, up to eight times `patience`; a member that restarts waits for as long before it reads.
- `cancel` and `back` said again are the same order: the second try of a proposal found its own first one done, and the operator was told that no such job is open.
- A value accepted of which nothing more is heard is asked for by a change of nothing: its proposer may have died first.
- An engine is back by the word of most of all members.
Found by reading: votes were counted among those heard lately, so a member that hears nobody took its own blank for a return.

--- a/decklb/config/operators.py
+++ b/decklb/config/operators.py
@@ -105,6 +105,8 @@
         raise SettingsError([Fault(path, 0, str(error))]) from error
     config.cluster, config.control = book.cluster(config.name), book.control()
     config.handoff, config.locality, config.maintenance = book.handoff(), book.locality(), book.maintenance()
+    if config.maintenance is not None and config.handoff is not None and not config.handoff.data:
+        config.maintenance = replace(config.maintenance, memory=config.handoff.life)
     book.settle()
     return config
 
@@ -351,8 +353,9 @@
             self.fault(element, "<maintenance> needs <locality>: its budgets go by what members see of zones and load")
         if self.root.find("control") is None:
             self.fault(element, "<maintenance> needs <control>: operators ask for machines over it")
-        made: MaintenanceSettings | None = self.check(element,
-                                                      lambda: MaintenanceSettings(**_taken(element, MAINTENANCE)))
+        more = {"data": self._path(element.attrib["data"])} if "data" in element.attrib else {}
+        made: MaintenanceSettings | None = self.check(
+            element, lambda: MaintenanceSettings(**_taken(element, MAINTENANCE) | more))
         return made
 
     def _told(self, element: etree._Element, attribute: str) -> tuple[str, int] | None:
--- a/decklb/daemon/assembly.py
+++ b/decklb/daemon/assembly.py
@@ -111,11 +111,15 @@
     """What takes machines out for work, where there is a section for it."""
     if config.maintenance is None or member is None or near is None:
         return None
+    from decklb.maintenance.errors import MaintenanceError
     from decklb.maintenance.runtime import MaintenanceService
 
     s = config.maintenance
-    return MaintenanceService(clock, s, member, near, parts.dispatcher, prober(reactor, clock, config, 4 * s.fresh),
-                              changed, leave)
+    probes = prober(reactor, clock, config, 4 * s.fresh)
+    try:
+        return MaintenanceService(clock, s, member, near, parts.dispatcher, probes, changed, leave)
+    except MaintenanceError as error:
+        raise ConfigError(f"<maintenance>: {error}") from error
 
 
 def handoff(reactor: Any, clock: Clock, config: Config, parts: Parts,
--- a/decklb/maintenance/conductor.py
+++ b/decklb/maintenance/conductor.py
@@ -32,10 +32,11 @@
     overdue,
     request,
 )
-from decklb.maintenance.register import Register, Settled
+from decklb.maintenance.register import Memory, Register, Settled
 from decklb.maintenance.settings import MaintenanceSettings
 
 Told = Callable[[Plan | Exception], None]
+STEP = 12  # times `patience` for which a step is proposed: three tries, each longer than the one before
 QUIET = 4  # ticks between words of a member that has nothing new to say
 
 
@@ -57,10 +58,12 @@
 class Conductor:
     """One member. `out` gathers (member, datagram); "" goes to all others."""
 
-    def __init__(self, settings: MaintenanceSettings, me: str, boot: int, rng: random.Random, now: float) -> None:
+    def __init__(self, settings: MaintenanceSettings, me: str, boot: int, rng: random.Random, now: float,
+                 memory: Memory | None = None, keep: Callable[[Memory], bool] = lambda memory: True) -> None:
+        """`memory` and `keep`: see Register."""
         self.s, self.me, self.boot = settings, me, boot
         self.register: Register[Plan] = Register(me, Plan(), m.pack_plan, m.read_plan, settings.members,
-                                                 settings.patience, rng, now)
+                                                 settings.patience, rng, now, memory, keep)
         self.engines: dict[str, tuple[str, float]] = {}  # zone and cores of all on the list
         self.out: list[tuple[str, bytes]] = []
         self.notices: list[Notice] = []
@@ -68,12 +71,14 @@
         self.alive: frozenset[str] = frozenset((me,))
         self.reports: dict[str, tuple[m.Report, float]] = {}
         self.since: dict[str, float] = {}  # when each member was first known here
+        self._started = {me: now}  # when each member's process was first heard here, this one's own included
         self.own = Own()
         self._reader = m.Reader()
         self._word = rng.getrandbits(31) << 20
         self._said: tuple[Any, ...] = ()
         self._ticks = 0
         self._seen = Plan()  # of which the log has told
+        self._known_since = now  # when this member came to know the plan as it stands
         self._late: set[str] = set()
         self._went: frozenset[str] = frozenset()  # engines seen down since they are out
         self._leaving = False
@@ -121,6 +126,8 @@
         try:
             message = self._reader.feed(sender, data)
             if isinstance(message, m.Report):
+                if sender not in self.reports or self.reports[sender][0].boot != message.boot:
+                    self._started[sender] = now
                 self.reports[sender] = message, now
                 if message.ballot < self.register.settled_at:  # it missed the newest
                     self._send(sender, Settled(self.register.settled_at, m.pack_plan(self.plan)))
@@ -140,14 +147,14 @@
         self._went = frozenset(out & (self._went | own.down))
         idle = not self.register.forgetful and not self.register.busy
         if idle and self.driver == self.me and self._next(self.plan) is not self.plan:
-            self.register.propose(self._next, self._stepped, now + 4 * self.s.patience)
+            self.register.propose(self._next, self._stepped, now + STEP * self.s.patience)
         self._report()
         self._flush()
         self._tell(wall)
 
     def away(self) -> frozenset[str]:
-        """Engines that no work may be sent to."""
-        return self.plan.away()
+        """Engines that no work may be sent to, by a plan that may have been agreed on too."""
+        return self.plan.away() | self.register.newest.away()
 
     def watched(self) -> frozenset[str]:
         """Engines to be probed for the plan: those away or just back."""
@@ -171,8 +178,13 @@
             votes = [name not in r.down for r in fresh.values()] + [name not in self.own.down]
             busy = self.own.busy.get(name, 0) + sum(r.busy.get(name, 0) for r in fresh.values())
             went = (name in self._went) + sum(name in r.went for r in fresh.values())
-            engines[name] = Engine(name, zone, cores, 2 * sum(votes) > len(votes), busy, went=2 * went > len(votes))
-        return Facts(round(wall), engines | self._managers(fresh), self.own.load, self.own.unwell, told)
+            # A majority of all members: whoever has said nothing for a while has not said that it is up either.
+            engines[name] = Engine(name, zone, cores, 2 * sum(votes) > self.s.members, busy,
+                                   went=2 * went > self.s.members)
+        clear = all(now - self._started.get(n, now) >= self.s.drain for n in {self.me, *self.since}
+                    if not self._absent(n, now))
+        return Facts(round(wall), engines | self._managers(fresh), self.own.load, self.own.unwell, told,
+                     now - self._known_since, clear)
 
     def machines(self) -> Mapping[str, Engine]:
         """All that may be named."""
@@ -192,6 +204,8 @@
 
     def _absent(self, name: str, now: float) -> bool:
         """Whether a member has said nothing for so long that it is no longer waited for."""
+        if name == self.me:
+            return False
         last = self.reports[name][1] if name in self.reports else self.since[name]
         return name not in self.alive and now - last >= self.s.absent
 
@@ -229,7 +243,7 @@
         self._late = late
         if plan is before:
             return
-        self._seen = plan
+        self._seen, self._known_since = plan, self._now
         old = {(j.ident, x.name): x.stage for j in before.jobs for x in j.machines}
         for j in plan.jobs:
             for x in j.machines:
--- a/decklb/maintenance/plan.py
+++ b/decklb/maintenance/plan.py
@@ -98,6 +98,8 @@
     load: Mapping[str, float]
     unwell: frozenset[str] = frozenset()  # zones that are out, degraded or returning
     told: bool = True  # every member alive has the plan as it stands, and its words count
+    known: float = float("inf")  # ms for which whoever does the step has known the plan as it stands
+    clear: bool = True  # no member has died or started so lately that what its process sent may run unseen
 
 
 # What operators ask for.
@@ -132,8 +134,10 @@
 
 
 def cancel(plan: Plan, ident: str, wall: int) -> Plan:
-    """At once: what waits or drains takes work again, what is out is told to come back by being in no plan. Raises
-    NoSuchJob."""
+    """At once: what waits or drains takes work again, what is out is told to come back by being in no plan. One that is
+    cancelled already is the same word again: a proposal that is tried anew may find itself done. Raises NoSuchJob."""
+    if any(j.ident == ident and not j.live and any(m.stage is Stage.CANCELLED for m in j.machines) for j in plan.jobs):
+        return plan
     if not any(j.ident == ident and j.live for j in plan.jobs):
         raise NoSuchJob(ident)
     step = plan.steps + 1
@@ -143,8 +147,10 @@
 
 
 def back(plan: Plan, name: str, wall: int) -> Plan:
-    """An operator's word that the work on a machine is done. Raises NotOut."""
+    """An operator's word that the work on a machine is done, also said again. Raises NotOut."""
     m = plan.machine(name)
+    if m is not None and m.stage is Stage.WARMING:
+        return plan
     if m is None or m.stage is not Stage.OUT:
         raise NotOut(name)
     return _move(plan, m, Stage.WARMING, wall)
@@ -214,18 +220,24 @@
     e = facts.engines.get(m.name)
     age = facts.wall - m.at
     if m.stage is Stage.DRAINING:
-        if facts.told and (e is None or e.busy == 0) or age >= settings.drain:
+        if facts.told and facts.clear and (e is None or e.busy == 0) \
+                or min(age, facts.known) >= settings.drain:  # while nobody knew of it nobody kept work from there
             return _move(plan, m, Stage.OUT, facts.wall)
     elif m.stage is Stage.OUT:
-        if not m.gone and (e is None or not e.up or e.went):  # it went down for its work, maybe only for a moment
+        if not m.gone and (e is None or e.went):  # it went down for its work, maybe only for a moment
             return _each(plan, lambda j, x: replace(x, gone=True) if x is m else x)
         if e is not None and e.up and (m.gone or e.boot != m.boot):
             return _move(plan, m, Stage.WARMING, facts.wall)
-    elif m.stage is Stage.WARMING and age >= settings.warm and e is not None and e.up:
+    elif m.stage is Stage.WARMING and age >= _warm(m, settings) and e is not None and e.up:
         return _move(plan, m, Stage.DONE, facts.wall)
     return plan
 
 
+def _warm(m: Machine, settings: MaintenanceSettings) -> float:
+    """How long a machine warms. With one that votes on no records yet the next would leave too few voters."""
+    return max(settings.warm, settings.memory) if m.zone == MANAGERS else settings.warm
+
+
 def _move(plan: Plan, m: Machine, stage: Stage, wall: int, boot: int | None = None) -> Plan:
     step = plan.steps + 1
     to = replace(m, stage=stage, at=wall, gone=False, step=step, boot=m.boot if boot is None else boot)
--- a/decklb/maintenance/register.py
+++ b/decklb/maintenance/register.py
@@ -22,8 +22,11 @@
 from decklb.maintenance.errors import NoMajority
 
 V = TypeVar("V")
+UNSURE = 10.0  # times `patience` for which an accepted value may wait for word that it is agreed on
+LONGEST = 8.0  # times `patience` that one try of a proposal may last
 Ballot = tuple[int, str]  # a number and the proposer: no two proposals have the same
 NONE: Ballot = (0, "")
+Memory = tuple[Ballot, tuple[Ballot, bytes]]  # what a member must not forget: promised; accepted, with the value
 
 
 class Prepare(Struct, array_like=True, tag=1, frozen=True):
@@ -107,20 +110,29 @@
     agreed on."""
 
     def __init__(self, me: str, first: V, pack: Callable[[V], bytes], read: Callable[[bytes], V], members: int,
-                 patience: float, rng: random.Random, now: float) -> None:
+                 patience: float, rng: random.Random, now: float, memory: Memory | None = None,
+                 keep: Callable[[Memory], bool] = lambda memory: True) -> None:
+        """`keep` is told what must not be forgotten before any word rests on it, and says whether it is kept; `memory`
+        is what was, by this member's process before."""
         self.me, self.members, self.patience, self.rng = me, members, patience, rng
         self.pack, self.read = pack, read
         self.first = first
         self.settled, self.settled_at = first, NONE
         self.promised: Ballot = NONE
         self.accepted: tuple[Ballot, bytes] = (NONE, b"")
+        self.keep = keep
         self.out: list[tuple[str, Message]] = []
-        self.forgetful = members > 1
-        self._reads_from = now + 2.2 * patience  # by then no proposal lives that began before
+        self.forgetful = members > 1 and memory is None
+        if memory is not None:
+            self.promised, self.accepted = memory
+        # When to ask of a value accepted here that is not known to be agreed on; soon after a start.
+        self._unsure_until = float("inf") if memory is None else now + patience * (1 + rng.random())
+        self._reads_from = now + 1.1 * LONGEST * patience  # by then no try lives that began before
         self._nonce = rng.getrandbits(48)
         self._helds: dict[str, Held] = {}
         self._asked = -float("inf")
         self._queue: list[Proposal[V]] = []
+        self._pace = 1.0  # times `patience` that a try waits, doubled by each in vain and halved by each that is done
         self._highest = 0
         self._own: list[Promise | Accepted | Refused] = []  # answers of this member to itself
 
@@ -140,18 +152,39 @@
         """Whether an own change is under way."""
         return bool(self._queue)
 
+    @property
+    def newest(self) -> V:
+        """What is accepted here: it may come to be agreed on, or is already and this member has not heard of it."""
+        return self.read(self.accepted[1]) if self.accepted[0] > self.settled_at else self.settled
+
     def tick(self, now: float) -> None:
         """What time does; to be called a few times within `patience`."""
         if self.forgetful and now >= self._reads_from and now - self._asked >= self.patience / 2:
             self._asked = now
             self.out.append(("", Read(self._nonce)))
+        self._ask_of_unsure(now)
         for p in [p for p in self._queue if now > p.until]:
             self._queue.remove(p)
             p.done(NoMajority())
         if self._queue and not self.forgetful:
             p = self._queue[0]
-            if p.ballot == NONE or now - p.started >= p.wait:
+            if p.ballot == NONE:
                 self._begin(now, p)
+            elif now - p.started >= p.wait:
+                # Answers that are slower than a try would always come to a ballot that is given up already.
+                self._pace = min(2 * self._pace, LONGEST / 2)
+                self._begin(now, p)
+
+    def _ask_of_unsure(self, now: float) -> None:
+        """A value that was accepted here and of which nothing more was heard: its proposer may have died before it told
+        anybody, or all members at once. A change of nothing finds out what stands."""
+        if self.accepted[0] <= self.settled_at or self.forgetful:
+            self._unsure_until = float("inf")
+        elif self._unsure_until == float("inf"):
+            self._unsure_until = now + UNSURE * self.patience * (1 + self.rng.random())
+        elif now >= self._unsure_until and not self._queue:
+            self._unsure_until = float("inf")
+            self.propose(lambda value: value, lambda value: None, now + LONGEST * self.patience)
 
     def hear(self, now: float, sender: str, message: Message) -> None:
         """Another member's word."""
@@ -176,13 +209,13 @@
 
     def _on_prepare(self, sender: str, m: Prepare) -> None:
         self._highest = max(self._highest, m.ballot[0])
-        if self.forgetful or m.ballot <= self.promised:
+        if self.forgetful or m.ballot <= self.promised or not self.keep((m.ballot, self.accepted)):
             return self._refuse(sender, m.ballot)
         self.promised = m.ballot
         self._answer(sender, Promise(m.ballot, *self.accepted))
 
     def _on_accept(self, sender: str, m: Accept) -> None:
-        if self.forgetful or m.ballot < self.promised:
+        if self.forgetful or m.ballot < self.promised or not self.keep((m.ballot, (m.ballot, m.value))):
             return self._refuse(sender, m.ballot)
         self.promised, self.accepted = m.ballot, (m.ballot, m.value)
         self._answer(sender, Accepted(m.ballot))
@@ -202,7 +235,7 @@
         self._highest = max(self._highest, self.promised[0]) + 1
         p.ballot, p.started = (self._highest, self.me), now
         # Two that propose at once would outbid each other for good; chance parts them.
-        p.wait = self.patience * (1 + self.rng.random())
+        p.wait = self.patience * self._pace * (1 + self.rng.random())
         p.promises.clear()
         p.accepted.clear()
         p.value = None
@@ -224,7 +257,7 @@
             if m.promised > p.ballot:
                 self._highest = max(self._highest, m.promised[0])
                 p.promises.clear()  # this ballot can't win any more
-                p.wait = min(p.wait, now - p.started + self.patience / 4 * (1 + self.rng.random()))
+                p.wait = min(p.wait, now - p.started + p.wait / 4)
         elif isinstance(m, Promise):
             p.promises[sender] = m
             if p.value is None and len(p.promises) >= self.quorum:
@@ -249,6 +282,7 @@
     def _done(self, p: Proposal[V]) -> None:
         assert p.value is not None and p.made is not None
         self._queue.pop(0)
+        self._pace = max(1.0, self._pace / 2)
         self._settle(p.ballot, p.value)
         self.out.append(("", Settled(p.ballot, p.value)))
         p.done(p.made)
@@ -272,4 +306,4 @@
             if newest is not None and newest.accepted > self.accepted[0]:
                 self.accepted = newest.accepted, newest.value
             self._highest = max(self._highest, self.promised[0])
-            self.forgetful = False
+            self.forgetful = not self.keep((self.promised, self.accepted))
--- a/decklb/maintenance/runtime.py
+++ b/decklb/maintenance/runtime.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import replace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from loguru import logger
 from twisted.internet.defer import Deferred
@@ -22,9 +22,13 @@
 from decklb.maintenance.errors import MaintenanceError
 from decklb.maintenance.messages import TOPIC
 from decklb.maintenance.plan import Plan, Stage
+from decklb.maintenance.register import Memory
 from decklb.maintenance.settings import MaintenanceSettings
 from decklb.wire.prober import Address, Prober
 
+if TYPE_CHECKING:
+    from decklb.maintenance.store import PlanStore
+
 WAIT = 8000.0  # ms after which an operator is told that no majority has answered
 MISSES = 2  # probes in a row without an answer, after which a machine of the plan is down
 
@@ -38,8 +42,16 @@
                  leave: Callable[[], None]) -> None:
         self.clock, self.s, self.cluster, self.locality = clock, settings, cluster, locality
         self.dispatcher, self.prober, self.changed, self.leave = dispatcher, prober, changed, leave
-        self.conductor = Conductor(settings, cluster.settings.member, random.SystemRandom().getrandbits(48) or 1,
-                                   random.Random(os.urandom(16)), clock.now())
+        self.store: PlanStore | None = None
+        me, memory = cluster.settings.member, None
+        if settings.data:
+            from decklb.maintenance.store import PlanStore
+
+            self.store = PlanStore(settings.data, me)
+            memory = self.store.read()
+        self._failed = False  # the store could not be written the last time
+        self.conductor = Conductor(settings, me, random.SystemRandom().getrandbits(48) or 1,
+                                   random.Random(os.urandom(16)), clock.now(), memory, self._keep)
         self.addresses: Mapping[str, Address] = {}
         self.timer: Timer | None = None
         self._misses: dict[str, int] = {}  # of machines that the plan watches
@@ -91,6 +103,21 @@
 
     # Inside.
 
+    def _keep(self, memory: Memory) -> bool:
+        """Whether it is on disk, where there is a folder: a member that can't keep its word gives none."""
+        if self.store is None:
+            return not self.closed or not self.s.data
+        try:
+            self.store.write(memory)
+        except MaintenanceError as error:
+            if not self._failed:
+                logger.error("the plan's store can't be written, this member takes no part: {error}",
+                             event="plan-store-failed", error=str(error))
+            self._failed = True
+            return False
+        self._failed = False
+        return True
+
     def _agreed(self, propose: Callable[[float, Callable[[Plan | Exception], None]], None]) -> Deferred[Any]:
         made: Deferred[Any] = Deferred()
 
@@ -165,3 +192,6 @@
         if self.timer is not None:
             self.timer.cancel()
         self.prober.close()
+        if self.store is not None:
+            self.store.close()
+            self.store = None
--- a/decklb/maintenance/settings.py
+++ b/decklb/maintenance/settings.py
@@ -22,6 +22,8 @@
     fresh: float = 3000.0  # for which a member's word on engines and load counts
     absent: float = 10_000.0  # without a word, after which a member is no longer waited for
     kept: int = 50  # ended jobs that are remembered
+    memory: float = 0.0  # for which a manager that is back votes on no records of the handoff; the next waits for it
+    data: str = ""  # folder in which the member's part of the agreement outlives its process
 
     def __post_init__(self) -> None:
         if min(self.members, self.most, self.most_zone, self.kept) < 1:
