--- a/decklb/cli/lab.py
+++ b/decklb/cli/lab.py
@@ -301,7 +301,8 @@
     def told(r: Judged) -> None:
         if not as_json:
             click.echo(f"{r.case:7} {r.way:6} seed {r.seed:3}: {r.requests} requests, {r.lost} lost, {r.errors} errors,"
-                       f" {100 * r.left_share:.2f}% left, {r.wrong} wrong, {r.changes} changes, flood {r.flood:g}")
+                       f" {100 * r.left_share:.2f}% left, {r.wrong} wrong, {r.changes} changes, flood {r.flood:g}, "
+                       f"late {r.late_ms:.0f} ms")
 
     try:
         made = asyncio.run(lab.campaign(list(cases or lab.CASES), list(range(seed, seed + runs)),
@@ -334,7 +335,8 @@
     def told(r: lab.Told) -> None:
         click.echo(f"{r.case:11} seed {r.seed:3}: {r.seconds:5.1f} s, {r.requests} requests, {r.lost} lost, "
                    f"{r.errors} errors, {r.over_budget} over budget, {len(r.doubled)} doubled, {r.unsafe} unsafe, "
-                   f"{r.overlapping} overlapping, {'clean' if r.clean else 'NOT CLEAN'} {r.doubled or ''} {r.seen}")
+                   f"{r.overlapping} overlapping, {r.again} ran again, late {r.late_ms:.0f} ms, "
+                   f"{'clean' if r.clean else 'NOT CLEAN'} {r.doubled or ''} {r.seen}")
 
     made = asyncio.run(lab.campaign(list(cases or lab.CASES), list(range(seed, seed + runs)), fleets, told, logs))
     click.echo(f"{len(made)} runs, {sum(r.clean for r in made)} clean, {sum(r.requests for r in made)} requests")
--- a/decklb/lab/rig.py
+++ b/decklb/lab/rig.py
@@ -14,6 +14,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Callable
 from functools import partial
 from typing import Any
@@ -22,6 +23,8 @@
 
 Address = tuple[str, int]
 LOOK = 0.01  # seconds between looks at a cut link
+WATCH = 0.05  # seconds between looks at the rig's own lateness
+HELD_UP = 1000.0  # ms; where the machine itself held the rig or the program up for longer, a run proves nothing
 TRIES = 50  # ports tried for one that is free for datagrams and connections
 
 
@@ -61,8 +64,11 @@
         self._servers: list[asyncio.Server] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self.lost = self.broken = 0  # datagrams lost and connections broken by a link's fault
+        self.late = 0.0  # ms by which this process came late at worst: then the rig itself was what was slow
+        self._watching: asyncio.Task[None] | None = None
 
     async def open(self, host: str = "127.0.0.1") -> None:
+        self._watching = asyncio.ensure_future(self._watch())
         for name in self.binds:
             self.told[name] = await self._ingress_of(name, host)
         for sender in self.binds:
@@ -74,6 +80,12 @@
                 server = await self._listen(host, 0, partial(_always, member), engine, target)
                 self.gates[member, engine] = server.sockets[0].getsockname()[:2]
 
+    async def _watch(self) -> None:
+        while True:
+            due = time.monotonic() + WATCH
+            await asyncio.sleep(WATCH)
+            self.late = max(self.late, 1000.0 * (time.monotonic() - due))
+
     async def _ingress_of(self, name: str, host: str) -> Address:
         for _ in range(TRIES):
             made = await self._socket(("in", name), host)
@@ -148,6 +160,8 @@
         raise ConnectionError("closed")
 
     def close(self) -> None:
+        if self._watching is not None:
+            self._watching.cancel()
         for made in [*self._ingress.values(), *self._pairs.values()]:
             made.transport.close()
         for server in self._servers:
