--- a/decklb/lab/outage.py
+++ b/decklb/lab/outage.py
@@ -340,8 +340,9 @@
                 s.finals[-1] = ("failed", "", s.finals[-1][2])
 
 
-async def play(fleet: Fleet, seed: int) -> tuple[Verdict, list[Fault]]:
-    """One run on a fleet that is up: faults by seed while requests come, all undone before the end."""
+async def play(fleet: Fleet, seed: int, turn: int = 0) -> tuple[Verdict, list[Fault]]:
+    """One run on a fleet that is up: faults by seed while requests come, all undone before the end. `turn` counts runs
+    of the same seed on it, whose keys must not be those of the run before."""
     s, rng = fleet.setup, random.Random(seed)
     faults = schedule(seed, fleet.names, s.span, s.faults, s.kinds)
     start, fleet.rig.late = time.monotonic(), 0.0
@@ -356,7 +357,7 @@
     due = start
     while (due := due + rng.expovariate(s.rate)) < start + s.span / 1000:
         await asyncio.sleep(max(0.0, due - time.monotonic()))
-        clients.append(asyncio.ensure_future(Client(fleet, rng, f"s{seed}.{len(clients)}").run()))
+        clients.append(asyncio.ensure_future(Client(fleet, rng, f"s{seed}.{turn}.{len(clients)}").run()))
     await strikes
     stories = await asyncio.gather(*clients)
     await asyncio.sleep(0.4)  # the longest statement
@@ -409,12 +410,12 @@
         try:
             await fleet.start()
             for seed in seeds:
-                for left in reversed(range(TRIES)):
+                for turn in range(TRIES):
                     await fleet.remember()
-                    verdict, faults = await play(fleet, seed)
+                    verdict, faults = await play(fleet, seed, turn)
                     if logs and not verdict.clean:
                         await asyncio.to_thread(fleet.keep_logs, Path(logs) / str(seed))
-                    again = left > 0 and not verdict.clean and verdict.late_ms > HELD_UP
+                    again = turn < TRIES - 1 and not verdict.clean and verdict.late_ms > HELD_UP
                     yield Played(seed, verdict, faults, {name: fleet.logged(name) for name in COUNTED}, again)
                     if not again:
                         break
