Tell who asks for a named statement with no time left to come back, not that it failed

Cause: `Sink._error` in pg/front.py makes a statement timeout of every error that comes within EARLIEST of the session's deadline, also of the refusal that says a statement still runs elsewhere; the holder's answer came within the slack after it. A refusal under a name stays a refusal. The test gives 57014 without the change.

--- a/decklb/pg/front.py
+++ b/decklb/pg/front.py
@@ -69,9 +69,9 @@
 
     def refused(self, backoff: float) -> None:
         """It never ran, or may be run again; the hint says when."""
-        if self.once:
-            return self._error(PgError(pg.INSUFFICIENT_RESOURCES, "the statement has no answer here yet",
-                                       f"Ask again under the same decklb.request in {max(1, round(backoff))} ms."))
+        if self.once:  # also past its time: it is no answer, and another may come to be given
+            return self._tell(PgError(pg.INSUFFICIENT_RESOURCES, "the statement has no answer here yet",
+                                      f"Ask again under the same decklb.request in {max(1, round(backoff))} ms."))
         self._error(PgError(pg.INSUFFICIENT_RESOURCES, "the engines are too busy for this statement now",
                             f"Come back in {max(1, round(backoff))} ms."))
 
@@ -87,6 +87,9 @@
     def _error(self, error: PgError) -> None:
         if self.session.front.dispatcher.clock.now() >= self.deadline - EARLIEST:
             error = PgError(pg.QUERY_CANCELED, "canceling statement due to statement timeout")
+        self._tell(error)
+
+    def _tell(self, error: PgError) -> None:
         self.session.answered(lambda: self.session.error(error))
 
 
--- a/tests/test_handoff_program.py
+++ b/tests/test_handoff_program.py
@@ -21,9 +21,9 @@
 class Session:
     """A stock client of one manager."""
 
-    def __init__(self, fleet, name, lane, key):
+    def __init__(self, fleet, name, lane, key, budget="4s"):
         self.link = psycopg.connect(host="127.0.0.1", port=fleet.ports[name], user="u", autocommit=True,
-                                    options=f"-c decklb.class={lane} -c decklb.request={key}")
+                                    options=f"-c decklb.class={lane} -c decklb.request={key} -c decklb.budget={budget}")
 
     def run(self, sql):
         """The row; None where the client is to come back, and the text of any other error."""
@@ -78,7 +78,7 @@
         await self.fleet.managers[name].kill()
 
     def runs(self, key, what="start"):
-        return [x for x in self.fleet.witnessed() if x.key == key and x.what == what]
+        return sorted((x for x in self.fleet.witnessed() if x.key == key and x.what == what), key=lambda x: x.at)
 
     def test_a_killed_managers_read_is_run_again_once_and_its_load_ends_in_doubt(self):
         async def restart():
@@ -100,11 +100,32 @@
             self.runner.run(restart())
             self.runner.run(self.fleet.remember())
 
+    def test_what_a_killed_manager_left_running_is_ended_before_it_runs_again(self):
+        sql = "select 1 -- run=long work=2000"
+        self.assertIsNone(self.during(lambda: Session(self.fleet, "m0", "read", "long").run(sql),
+                                      lambda: self._kill("m0")))
+        self.assertTrue(self.client(final, "m1", "read", "long", sql).startswith("long/"))
+        (first, again), (ended,) = self.runs("long"), self.runs("long", "cancelled")
+        self.assertEqual((ended.engine, ended.run), (first.engine, first.run))
+        self.assertLessEqual(ended.at, again.at)
+        self.runner.run(self.fleet.up("m0"))
+        self.runner.run(self.fleet.remember())
+
     def test_a_client_that_comes_back_elsewhere_gets_the_same_row_and_nothing_runs_again(self):
         sql = "select 1 -- run=again work=20"
         rows = {self.client(final, name, "load", "again", sql) for name in ("m1", "m0", "m2", "m1")}
         self.assertEqual((len(rows), len(self.runs("again"))), (1, 1))
 
+    def test_who_asks_with_no_time_left_is_not_told_that_a_statement_failed_that_still_runs(self):
+        sql, said = "select 1 -- run=hasty work=700", []
+
+        async def ask():
+            while not self.runs("hasty"):
+                await asyncio.sleep(0.01)
+            said.append(await asyncio.to_thread(Session(self.fleet, "m1", "read", "hasty", "1ms").run, sql))
+        row = self.during(lambda: Session(self.fleet, "m0", "read", "hasty").run(sql), ask)
+        self.assertEqual((said, row[:6]), ([None], "hasty/"))  # come back, and no final answer
+
     def test_a_key_given_to_another_statement_is_refused_by_name(self):
         self.client(final, "m0", "read", "mine", "select 1 -- run=mine work=5")
         for name in ("m0", "m1", "m2"):
