Call off at its engine what a lost manager left running before another sends it again

Need: a read that was taken over could run at two engines at once, when it outlasted detection and lease together.

The record of an attempt names the backend key of its connection: a ready connection is kept for the attempt until a quorum knows of it; one that has just come up is told of after. The successor sends the cancel request, waits until the engine has read it and for `settle-after-doubt`, then sends the statement.

--- a/decklb/cli/lab.py
+++ b/decklb/cli/lab.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any
 
 import click
@@ -183,11 +184,12 @@
 @click.option("--only", multiple=True,
               type=click.Choice(["kill", "stop", "partition", "cut", "lossy", "ahead", "behind", "engines"]),
               help="Kinds of faults; all but engines by default.")
+@click.option("--work", multiple=True, type=click.IntRange(0, 4000), help="ms of statements; 5 to 300 by default.")
 @click.option("--data", is_flag=True, help="Managers keep their records on disk.")
 @click.option("--logs", default="", help="Folder for the logs of managers and engines of runs that were not clean.")
 @click.option("--json", "as_json", is_flag=True, help="One JSON object: the sum, and each run that was not clean.")
 def faults(managers: int, count: int, runs: int, seed: int, fleets: int, rate: float, seconds: float, strikes: int,
-           only: tuple[str, ...], data: bool, logs: str, as_json: bool) -> None:
+           only: tuple[str, ...], work: tuple[int, ...], data: bool, logs: str, as_json: bool) -> None:
     """Managers as processes that take over one another's work, under faults by seed; loopback only, ends by itself."""
     import asyncio
 
@@ -200,6 +202,8 @@
     log.set_up("ERROR", "text")
     setup = outage.Setup(managers, count, rate, 1000.0 * seconds, strikes,
                          kinds=tuple(Kind(x) for x in only) or outage.KINDS, data=data)
+    if work:
+        setup = replace(setup, work=work)
     unclean: list[dict[str, Any]] = []
 
     def told(number: int, v: Verdict, struck: list[Fault]) -> None:
--- a/decklb/handoff/guard.py
+++ b/decklb/handoff/guard.py
@@ -16,7 +16,7 @@
 from decklb.core.dispatcher import Attempt, Dispatcher, Request
 from decklb.core.ports import AnswerSink, Clock, EngineClient, Work
 from decklb.handoff.keeper import Keeper, Taken
-from decklb.handoff.records import Outcome, Record, fingerprint
+from decklb.handoff.records import Outcome, Record, Stage, fingerprint
 from decklb.interface import Outcome as End
 
 BACK = 200.0  # ms after which a client whose request still runs had better ask again
@@ -67,16 +67,24 @@
 class Carried:
     """An attempt as the engine client sees it, where its start waits for a quorum and its end is looked at first."""
 
-    __slots__ = ("attempt", "owner", "handle", "state")
+    __slots__ = ("attempt", "owner", "handle", "state", "trace")
 
     def __init__(self, attempt: Attempt, owner: Protected) -> None:
         self.attempt, self.owner = attempt, owner
         self.handle: object = None
         self.state = "waiting"  # then "out", "gone"
+        self.trace = b""  # by which it can be called off, as the record says
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self.attempt, name)  # request, engine, deadline and the like
 
+    def traced(self, trace: bytes) -> None:
+        """It has gone out on a connection by which it can be called off, also by whoever takes it over."""
+        guard = self.owner.guard
+        if self.state == "out" and trace != self.trace:
+            guard.keeper.traced(guard.clock.now(), self.owner.key, self.attempt.engine, trace)
+            guard.pump()
+
     def end(self, outcome: End, result: bytes = b"") -> None:
         """How it ended."""
         guard = self.owner.guard
@@ -101,8 +109,11 @@
             return self.inner.start(attempt)
         carried = owner.carried = Carried(attempt, owner)
         attempt.handle = carried
+        reserve = getattr(self.inner, "reserve", None)
+        if reserve is not None:  # so that the record can say how to call it off
+            carried.trace = reserve(carried)
         self.guard.keeper.sending(self.guard.clock.now(), owner.key, attempt.engine,
-                                  lambda ok: self._go(carried, ok))
+                                  lambda ok: self._go(carried, ok), carried.trace)
         self.guard.pump()
 
     def _go(self, carried: Carried, ok: bool) -> None:
@@ -123,7 +134,10 @@
         waiting, carried.state = carried.state == "waiting", "gone"
         if waiting:
             self.guard.ended(carried)
-            self.guard.clock.call_later(0, freed)
+            if carried.trace:
+                self.inner.give_up(carried, freed)  # type: ignore[arg-type]
+            else:
+                self.guard.clock.call_later(0, freed)
         else:
             self.inner.give_up(carried, lambda: (self.guard.ended(carried), freed())[1])  # type: ignore[arg-type,func-returns-value]
 
@@ -138,7 +152,8 @@
         self.running: dict[str, Protected] = {}  # by the core's name of the request
         self.by_key: dict[str, Protected] = {}
         self._made = 0
-        dispatcher.engines = Engines(dispatcher.engines, self)
+        self._called: set[str] = set()  # keys of which an attempt of another is being called off
+        self.engines = dispatcher.engines = Engines(dispatcher.engines, self)
 
     # What fronts call.
 
@@ -185,8 +200,28 @@
         if earlier is not None and earlier.carried is not None:  # what was called off is not out of the engine yet
             earlier.after.append(lambda: self.adopt(record, body))
             return
-        if record.key not in self.keeper.holds:
+        if record.key not in self.keeper.holds or record.key in self._called:
             return
+        call_off = getattr(self.engines.inner, "call_off", None)
+        if not record.trace or call_off is None:
+            return self._again(record, body)
+        # Its engine goes on with what a lost manager sent; two runs at once are one too many, also where both may be.
+        self.say(Protected(self, record.key, None), f"called off at {record.engine}")
+        self._called.add(record.key)
+        call_off(record.engine, record.trace, lambda: self.clock.call_later(
+            self.dispatcher.settings.settle, lambda: self._called_off(record, body)))
+
+    def _called_off(self, record: Record, body: bytes) -> None:
+        self._called.discard(record.key)
+        hold = self.keeper.holds.get(record.key)
+        # Where it may not be acted on now, it is taken up again, and comes here once more.
+        if hold is not None and not hold.stalled and hold.record.stage < Stage.ANSWERED:
+            if hold.record.term == record.term:
+                self._again(record, body)
+            else:
+                self.adopt(hold.record, body)  # lost and won again meanwhile
+
+    def _again(self, record: Record, body: bytes) -> None:
         now = self.clock.now()
         work = self.codec.decode(body, max(1.0, record.deadline - now))
         work.once = record.key
--- a/decklb/handoff/keeper.py
+++ b/decklb/handoff/keeper.py
@@ -143,14 +143,21 @@
         self._wait(now, hold, lambda ok: self._admitted(key, hold, ok))
         self._spread(now, hold)
 
-    def sending(self, now: float, key: str, engine: str, call: Call) -> None:
-        """An attempt is to go to an engine; `call` is told whether it may, once a quorum knows of it."""
+    def sending(self, now: float, key: str, engine: str, call: Call, trace: bytes = b"") -> None:
+        """An attempt is to go to an engine, where `trace` calls it off. `call` is told whether it may, once a quorum
+        knows of it."""
         hold = self.holds.get(key)
         if hold is None or hold.stalled or self.closed:
             return call(False)
-        self._write(now, hold, hold.record.sent(engine))
+        self._write(now, hold, hold.record.sent(engine, trace))
         self._wait(now, hold, lambda ok: self._may_send(now, hold, ok, call))
 
+    def traced(self, now: float, key: str, engine: str, trace: bytes) -> None:
+        """The attempt is out on a new connection, and can be called off by this. Nobody waits for its copies."""
+        hold = self.holds.get(key)
+        if hold is not None and hold.record.stage is Stage.SENT and hold.record.engine == engine and not hold.stalled:
+            self._write(now, hold, hold.record.traced(trace))
+
     def bounced(self, now: float, key: str) -> None:
         """The attempt provably never ran."""
         hold = self.holds.get(key)
--- a/decklb/handoff/records.py
+++ b/decklb/handoff/records.py
@@ -64,6 +64,7 @@
     outcome: Outcome | None = None
     answer: bytes = b""
     reason: str = ""  # why it ended so, for the log
+    trace: bytes = b""  # by which the attempt at `engine` can be called off there, where the wire knows such a thing
 
     def order(self) -> tuple[int, bool, int]:
         """Which of two records of a key stands: the higher."""
@@ -73,14 +74,18 @@
         """True where this one replaces `other`."""
         return other is None or self.order() > other.order()
 
-    def sent(self, engine: str) -> Record:
+    def sent(self, engine: str, trace: bytes = b"") -> Record:
         """An attempt goes to `engine`."""
-        return replace(self, stage=Stage.SENT, engine=engine, attempts=self.attempts + 1, admitted=True,
+        return replace(self, stage=Stage.SENT, engine=engine, trace=trace, attempts=self.attempts + 1, admitted=True,
                        version=self.version + 1)
 
+    def traced(self, trace: bytes) -> Record:
+        """How the attempt that is out can be called off."""
+        return replace(self, trace=trace, version=self.version + 1)
+
     def bounced(self) -> Record:
         """The engine answered FULL: the attempt never ran, and the request may be sent again by anyone."""
-        return replace(self, stage=Stage.QUEUED, version=self.version + 1)
+        return replace(self, stage=Stage.QUEUED, trace=b"", version=self.version + 1)
 
     def answered(self, outcome: Outcome, answer: bytes, room: int, reason: str = "") -> Record:
         """Its final answer is known. Of one too large to be copied only the outcome is: what was served is never in
--- a/decklb/lab/outage.py
+++ b/decklb/lab/outage.py
@@ -76,6 +76,7 @@
     lease: float = 600.0
     kinds: tuple[Kind, ...] = KINDS
     data: bool = False  # managers keep their records on disk
+    work: tuple[int, ...] = (5, 20, 80, 300)  # ms that statements take at their engine
 
     @property
     def life(self) -> float:
@@ -283,7 +284,7 @@
         self.fleet, self.rng = fleet, rng
         now, s = time.monotonic(), fleet.setup
         self.story = Story(key, rng.choice((READ, LOAD)), now, now + s.longest / 1000 + SLACK)
-        self.sql = f"select 1 -- run={key} work={rng.choice((5, 20, 80, 300))}"
+        self.sql = f"select 1 -- run={key} work={rng.choice(s.work)}"
         self.patience = rng.choice((0.3, 1.0, 5.0))  # seconds that it waits on one connection
 
     async def run(self) -> Story:
@@ -360,7 +361,7 @@
         clients.append(asyncio.ensure_future(Client(fleet, rng, f"s{seed}.{turn}.{len(clients)}").run()))
     await strikes
     stories = await asyncio.gather(*clients)
-    await asyncio.sleep(0.4)  # the longest statement
+    await asyncio.sleep(max(s.work) / 1000 + 0.1)
     mine = {x.key for x in stories}
     verdict = judge(stories, [x for x in fleet.witnessed() if x.key in mine], LOAD)
     verdict.late_ms = round(fleet.rig.late, 1)  # managers are stopped on purpose here, so only the rig's own
--- a/decklb/pg/engines.py
+++ b/decklb/pg/engines.py
@@ -52,6 +52,7 @@
         self.attempt: Attempt | None = None  # told of the end
         self.freed: Callable[[], None] | None = None  # told of it after a give-up
         self.sent = self.up = self.ready = self.closed = False
+        self.held = False  # for the attempt, which may not go out yet
         self.reason = "peer-closed"
         self.backend = (0, 0)
         self.prepared: dict[tuple[bytes, bytes], bytes] = {}
@@ -68,6 +69,17 @@
         if self.ready:
             self._send()
 
+    def hold(self, attempt: Attempt) -> bytes:
+        """Keep the connection, which is ready, for an attempt; by what this returns it can be called off."""
+        self.attempt, self.held = attempt, True
+        self._stop_timer()
+        return struct.pack(">II", *self.backend)
+
+    def go(self) -> None:
+        """Run the attempt that it was kept for."""
+        self.held = False
+        self._send()
+
     def connectionMade(self) -> None:
         """Introduce ourselves."""
         self.up = True
@@ -80,6 +92,9 @@
         work = self.attempt.request.work
         assert isinstance(work, PgWork)
         self.ready, self.sent = False, True
+        traced = getattr(self.attempt, "traced", None)
+        if traced is not None and self.backend != (0, 0):  # another manager may take it over
+            traced(struct.pack(">II", *self.backend))
         self.result, self.size, self.error, self.parsing = [], 0, None, []
         if work.simple:
             self.transport.write(pg.pack(b"Q", work.statement + b"\0"))
@@ -148,7 +163,7 @@
         self.ready = True
         attempt, freed, sent = self.attempt, self.freed, self.sent
         if attempt is not None and not sent:  # it waited for the connection
-            return self._send()
+            return None if self.held else self._send()
         self.attempt, self.freed, self.sent = None, None, False
         self._rest()
         if freed is not None:
@@ -160,8 +175,11 @@
 
     def give_up(self, freed: Callable[[], None]) -> None:
         """Cancel what runs; free when the engine is ready again or the connection is gone."""
-        if not self.sent:  # the connection is still coming up: nothing is out
+        if not self.sent:  # the connection is still coming up, or was kept: nothing is out
             self.attempt = None
+            if self.held:
+                self.held = False
+                self._rest()
             self.pool.client.clock.call_later(0, freed)
             return
         self.attempt, self.freed = None, freed
@@ -228,16 +246,31 @@
 
     transport: Any
 
-    def __init__(self, backend: tuple[int, int]) -> None:
-        self.backend = backend
+    def __init__(self, backend: tuple[int, int], clock: Clock | None = None,
+                 done: Callable[[], None] | None = None) -> None:
+        """`done` is told once the engine has read it, or has not within a while."""
+        self.backend, self.clock, self.done = backend, clock, done
+        self.timer: Timer | None = None
 
     def connectionMade(self) -> None:
-        """Say it and go."""
+        """Say it and go; where somebody waits, once the engine ends the connection, as it does when it has read it."""
         self.transport.write(pg.pack_cancel(*self.backend))
-        self.transport.loseConnection()
+        if self.clock is None:
+            self.transport.loseConnection()
+        else:
+            self.timer = self.clock.call_later(CANCEL, self._unread)
+
+    def _unread(self) -> None:
+        self.timer = None
+        self.transport.abortConnection()
 
     def connectionLost(self, reason: Failure | None = None) -> None:
         """The engine reads it and says nothing."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if self.done is not None:
+            self.done()
         logger.info("engine connection ended: {reason} pid={pid}", event="engine-connection-ended",
                     reason="cancel-sent", pid=self.backend[0])
 
@@ -273,17 +306,21 @@
         host, port = self.address
         return TCP4ClientEndpoint(self.client.reactor, host, port, CONNECT / 1000).connect(factory)
 
-    def cancel(self, backend: tuple[int, int]) -> None:
-        """Ask the engine to end what runs on that connection."""
-        self._dial(Canceller(backend)).addErrback(
-            lambda reason: logger.info("cancel did not reach {engine}: {reason}", event="cancel-lost",
-                                       engine=self.engine, reason=reason.type.__name__))
+    def cancel(self, backend: tuple[int, int], done: Callable[[], None] | None = None) -> None:
+        """Ask the engine to end what runs on that connection; `done` is told once it has, or can't be asked."""
+        def lost(reason: Failure) -> None:
+            logger.info("cancel did not reach {engine}: {reason}", event="cancel-lost", engine=self.engine,
+                        reason=reason.type.__name__)  # type: ignore[union-attr]
+            if done is not None:
+                done()
+
+        self._dial(Canceller(backend, self.client.clock if done is not None else None, done)).addErrback(lost)
 
     def retire(self) -> None:
         """The engine has gone, or has moved: close what is not in use, and the rest when it ends."""
         self.retired = True
         for link in list(self.links):
-            if link.ready:
+            if link.ready and not link.held:
                 link._stop_timer()
                 link._idle()
 
@@ -299,6 +336,31 @@
         """A pool for an engine that is new, or has moved."""
         return PgPool(self, engine, address)
 
+    def reserve(self, attempt: Attempt) -> bytes:
+        """A ready connection is kept for an attempt that is yet to be started; "" where there is none."""
+        pool = self.pools.get(attempt.engine)
+        for link in pool.links if pool is not None else ():
+            if link.ready and link.backend != (0, 0) and not (link.attempt or link.freed or link.closed):
+                attempt.handle = link
+                return link.hold(attempt)
+        return b""
+
+    def start(self, attempt: Attempt) -> None:
+        """Send an attempt, where it is kept a connection on that one."""
+        link = attempt.handle
+        if isinstance(link, PgLink) and link.attempt is attempt and link.held:
+            link.go()
+        else:
+            super().start(attempt)
+
+    def call_off(self, engine: str, trace: bytes, done: Callable[[], None]) -> None:
+        """End what another manager has running there, by what it told of it; `done` comes once, later."""
+        pool = self.pools.get(engine)
+        if pool is None or len(trace) != 8:
+            self.clock.call_later(0, done)
+        else:
+            pool.cancel(struct.unpack(">II", trace), done)
+
     def give_up(self, attempt: Attempt, freed: Callable[[], None]) -> None:
         """Cancel on the engine; `freed` comes when it is no longer out."""
         link = attempt.handle
