One loop for fault runs in processes of their own, in place of two; drop a default that nothing uses

`lab upkeep` and `lab regions` each had the loop that shares plays among fleets and plays a run again that the machine held up: `apart.side_by_side` serves both. Witnesses are always given their ports since those are drawn, so the way without them and the count of managers go. `Fleet.serve` counts its draws instead of ending in a line that can't be reached.

--- a/decklb/cli/lab.py
+++ b/decklb/cli/lab.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from typing import Any
 
 import click
@@ -201,9 +200,7 @@
 
     log.set_up("ERROR", "text")
     setup = outage.Setup(managers, count, rate, 1000.0 * seconds, strikes,
-                         kinds=tuple(Kind(x) for x in only) or outage.KINDS, data=data)
-    if work:
-        setup = replace(setup, work=work)
+                         kinds=tuple(Kind(x) for x in only) or outage.KINDS, data=data, work=work or outage.WORK)
     unclean: list[dict[str, Any]] = []
 
     def told(number: int, v: Verdict, struck: list[Fault]) -> None:
--- a/decklb/lab/apart.py
+++ b/decklb/lab/apart.py
@@ -13,7 +13,7 @@
 import importlib
 import signal
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable, Iterable
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -21,6 +21,7 @@
 
 T = TypeVar("T")
 LINE = 1 << 24  # bytes of one result at most
+TRIES = 3  # of a run that the machine held up
 
 
 async def apart(function: str, result: type[T], **words: Any) -> AsyncIterator[T]:
@@ -40,6 +41,25 @@
             await child.wait()
 
 
+async def side_by_side(function: str, result: type[T], plays: Iterable[dict[str, Any]], fleets: int,
+                       told: Callable[[T], None], judged: Callable[[T], bool]) -> list[T]:
+    """One run of each play, a few fleets side by side. Each is told; one that can't be judged, since the machine itself
+    stood still, is played again, and what stands of it is the last."""
+    left, made = iter(plays), list[T]()
+
+    async def one(index: int) -> None:
+        for play in left:
+            for _ in range(TRIES):
+                async for run in apart(function, result, index=index, **play):
+                    told(run)
+                if judged(run):
+                    break
+            made.append(run)
+
+    await asyncio.gather(*(one(i) for i in range(fleets)))
+    return made
+
+
 async def main(function: str, words: dict[str, Any]) -> None:
     """Run it here."""
     task = asyncio.current_task()
--- a/decklb/lab/outage.py
+++ b/decklb/lab/outage.py
@@ -25,7 +25,7 @@
 from decklb.cluster import keyfile
 from decklb.daemon.control import ControlError, ask
 from decklb.lab import ports
-from decklb.lab.apart import apart
+from decklb.lab.apart import TRIES, apart
 from decklb.lab.faults import Fault, Kind, Link, schedule
 from decklb.lab.rig import HELD_UP, Address, Rig
 from decklb.lab.verdict import Line, Story, Verdict, judge
@@ -33,9 +33,10 @@
 
 READ, LOAD = "read", "load"  # may be repeated; at most once
 START = 20.0  # seconds for a process to come up
-TRIES = 3  # of a run that the machine held up, or of an engine's ports
+DRAWS = 3  # of an engine's ports: another fleet that starts may have drawn one of them
 COME_BACK = ("53000", "53300", "57P01", "57P03", "08006")  # answers after which a client asks again
 SLACK = 0.5  # seconds past its deadline in which an answer still counts
+WORK = (5, 20, 80, 300)
 KINDS = (Kind.KILL, Kind.STOP, Kind.PARTITION, Kind.CUT, Kind.LOSSY, Kind.AHEAD, Kind.BEHIND)
 SIGNALS = {Kind.STOP: signal.SIGSTOP, Kind.CONT: signal.SIGCONT, Kind.AHEAD: signal.SIGUSR1,
            Kind.BEHIND: signal.SIGUSR2, Kind.CLOCK: signal.SIGWINCH}
@@ -76,7 +77,7 @@
     lease: float = 600.0
     kinds: tuple[Kind, ...] = KINDS
     data: bool = False  # managers keep their records on disk
-    work: tuple[int, ...] = (5, 20, 80, 300)  # ms that statements take at their engine
+    work: tuple[int, ...] = WORK  # ms that statements take at their engine
 
     @property
     def life(self) -> float:
@@ -165,18 +166,19 @@
         """Start an engine, at first or again where it was; the ports, one for each manager."""
         log = self.folder / f"{engine.name}.log"
         log.touch()
-        for left in reversed(range(TRIES)):
+        draws = DRAWS if where is None else 1
+        while True:
             engine.lines.clear()
             engine.stamps.clear()
-            await engine.start("decklb.lab.witness", engine.name, str(self.setup.managers), str(log),
+            await engine.start("decklb.lab.witness", engine.name, str(log),
                                ujson.dumps(where or ports.free(self.setup.managers)))
             try:
                 found: list[int] = ujson.loads((await engine.says(r"^(\[.*\])"))[1])
                 return found
-            except RuntimeError:  # another fleet that starts has drawn one of its ports
-                if left == 0 or where is not None:
+            except RuntimeError:
+                draws -= 1
+                if not draws:
                     raise
-        raise AssertionError("unreachable")
 
     def program(self, name: str) -> tuple[str, ...]:
         """What runs as a manager."""
--- a/decklb/lab/regions.py
+++ b/decklb/lab/regions.py
@@ -19,9 +19,9 @@
 import ujson
 
 from decklb.daemon.control import ask
-from decklb.lab.apart import apart
+from decklb.lab.apart import side_by_side
 from decklb.lab.faults import Link
-from decklb.lab.outage import TRIES, Fleet, Process, Setup
+from decklb.lab.outage import Fleet, Process, Setup
 from decklb.lab.rig import HELD_UP
 from decklb.lab.zonal import Change, Judged, Sent, judge
 from decklb.locality.settings import LocalitySettings
@@ -290,21 +290,8 @@
 async def campaign(cases: list[str], seeds: list[int], ways: list[str], fleets: int,
                    told: Callable[[Judged], None], logs: str = "") -> list[Judged]:
     """All cases and seeds, each with every way of judging, a few fleets side by side, each in a process of its own."""
-    plays = iter([(c, s, w) for c in cases for s in seeds for w in ways])
-    made: list[Judged] = []
-
-    async def one(index: int) -> None:
-        for case, seed, way in plays:
-            for left in reversed(range(TRIES)):
-                async for run in apart(f"{__name__}:alone", Judged, case=case, seed=seed, way=way, index=index,
-                                       logs=logs):
-                    told(run)
-                if left == 0 or run.late_ms <= HELD_UP:  # else the machine, not the program, was late
-                    made.append(run)
-                    break
-
-    await asyncio.gather(*(one(i) for i in range(fleets)))
-    return made
+    plays = [{"case": c, "seed": s, "way": w, "logs": logs} for c in cases for s in seeds for w in ways]
+    return await side_by_side(f"{__name__}:alone", Judged, plays, fleets, told, lambda run: run.late_ms <= HELD_UP)
 
 
 async def alone(case: str, seed: int, way: str, index: int, logs: str) -> AsyncIterator[Judged]:
--- a/decklb/lab/upkeep.py
+++ b/decklb/lab/upkeep.py
@@ -19,8 +19,8 @@
 from typing import Any
 
 from decklb.daemon.control import ControlError, ask
-from decklb.lab.apart import apart
-from decklb.lab.outage import TRIES, Process
+from decklb.lab.apart import side_by_side
+from decklb.lab.outage import Process
 from decklb.lab.regions import REGION, Callers, Zonal
 from decklb.lab.rig import HELD_UP
 from decklb.lab.zonal import Sent
@@ -409,20 +409,9 @@
 async def campaign(cases: list[str], seeds: list[int], fleets: int, told: Callable[[Told], None],
                    logs: str = "") -> list[Told]:
     """All cases and seeds, a few fleets side by side, each in a process of its own."""
-    plays = iter([(c, s) for s in seeds for c in cases])
-    made: list[Told] = []
-
-    async def one(index: int) -> None:
-        for case, seed in plays:
-            for left in reversed(range(TRIES)):
-                async for run in apart(f"{__name__}:alone", Told, case=case, seed=seed, index=index, logs=logs):
-                    told(run)
-                if left == 0 or run.clean or run.late_ms <= HELD_UP:  # else the machine, not the program, was late
-                    made.append(run)
-                    break
-
-    await asyncio.gather(*(one(i) for i in range(fleets)))
-    return made
+    plays = [{"case": c, "seed": s, "logs": logs} for s in seeds for c in cases]
+    return await side_by_side(f"{__name__}:alone", Told, plays, fleets, told,
+                              lambda run: run.clean or run.late_ms <= HELD_UP)
 
 
 async def alone(case: str, seed: int, index: int, logs: str) -> AsyncIterator[Told]:
--- a/decklb/lab/witness.py
+++ b/decklb/lab/witness.py
@@ -1,10 +1,10 @@
 """Stand-in PostgreSQL engines in a process of their own, which write down each run of a statement: the fault runs'
 witnesses.
 
-`python -m decklb.lab.witness NAME MANAGERS LOG [PORTS]` listens on one port for each manager, so that a run can be laid
-at the manager that sent it, prints the ports as JSON, and serves until it is killed. One that returns is given its
-ports. A statement says what it costs in a comment: `select 1 -- run=KEY work=MS`. As on real engines, a run goes on
-when its connection ends, and ends early when it is cancelled.
+`python -m decklb.lab.witness NAME LOG PORTS` listens on one port for each manager, so that a run can be laid at the
+manager that sent it, prints them, and serves until it is killed. PORTS are JSON; one that returns is given the same
+ones. A statement says what it costs in a comment: `select 1 -- run=KEY work=MS`. As on real engines, a run goes on when
+its connection ends, and ends early when it is cancelled.
 """
 
 from __future__ import annotations
@@ -87,7 +87,7 @@
                 + pg.pack(b"D", struct.pack(">hi", 1, len(value)) + value) + pg.complete("SELECT 1"))
 
 
-async def main(name: str, managers: int, path: str, ports: list[int]) -> None:
+async def main(name: str, path: str, ports: list[int]) -> None:
     """Serve until killed."""
     with open(path, "a") as log:
         witness = Witness(name, log)
@@ -95,11 +95,10 @@
         def make(manager: int) -> Any:
             return lambda r, w: witness.serve(manager, r, w)
 
-        servers = [await asyncio.start_server(make(i), "127.0.0.1", ports[i]) for i in range(managers)]
+        servers = [await asyncio.start_server(make(i), "127.0.0.1", p) for i, p in enumerate(ports)]
         print(ujson.dumps([s.sockets[0].getsockname()[1] for s in servers]), flush=True)
         await asyncio.get_running_loop().create_future()
 
 
 if __name__ == "__main__":
-    count = int(sys.argv[2])
-    asyncio.run(main(sys.argv[1], count, sys.argv[3], ujson.loads(sys.argv[4]) if len(sys.argv) > 4 else [0] * count))
+    asyncio.run(main(sys.argv[1], sys.argv[2], ujson.loads(sys.argv[3])))
--- a/decklb/maintenance/runtime.py
+++ b/decklb/maintenance/runtime.py
@@ -106,7 +106,7 @@
     def _keep(self, memory: Memory) -> bool:
         """Whether it is on disk, where there is a folder: a member that can't keep its word gives none."""
         if self.store is None:
-            return not self.closed or not self.s.data
+            return not self.s.data  # or it is closed
         try:
             self.store.write(memory)
         except MaintenanceError as error:
