Ask an engine connection in one place whether it is free, and how it is called off

Choosing a connection and keeping one each spelled out the same condition, and the key by which a run is called off was packed twice beside two checks that it is there. `PgLink.free` and `PgLink.trace` say both once; the canceller waits where somebody is to be told, which it knows without an optional clock.

--- a/decklb/pg/engines.py
+++ b/decklb/pg/engines.py
@@ -62,6 +62,16 @@
         self.timer: Timer | None = None
         self._count = 0
 
+    @property
+    def free(self) -> bool:
+        """Whether it may be given an attempt."""
+        return not (self.attempt or self.freed or self.closed)
+
+    @property
+    def trace(self) -> bytes:
+        """By which what runs here can be called off; "" where the engine named no key."""
+        return struct.pack(">II", *self.backend) if self.backend != (0, 0) else b""
+
     def take(self, attempt: Attempt) -> None:
         """Run an attempt, now or when the connection is ready."""
         self.attempt = attempt
@@ -69,11 +79,10 @@
         if self.ready:
             self._send()
 
-    def hold(self, attempt: Attempt) -> bytes:
-        """Keep the connection, which is ready, for an attempt; by what this returns it can be called off."""
+    def hold(self, attempt: Attempt) -> None:
+        """Keep the connection, which is ready, for an attempt."""
         self.attempt, self.held = attempt, True
         self._stop_timer()
-        return struct.pack(">II", *self.backend)
 
     def go(self) -> None:
         """Run the attempt that it was kept for."""
@@ -93,8 +102,8 @@
         assert isinstance(work, PgWork)
         self.ready, self.sent = False, True
         traced = getattr(self.attempt, "traced", None)
-        if traced is not None and self.backend != (0, 0):  # another manager may take it over
-            traced(struct.pack(">II", *self.backend))
+        if traced is not None and self.trace:  # another manager may take it over
+            traced(self.trace)
         self.result, self.size, self.error, self.parsing = [], 0, None, []
         if work.simple:
             self.transport.write(pg.pack(b"Q", work.statement + b"\0"))
@@ -246,8 +255,7 @@
 
     transport: Any
 
-    def __init__(self, backend: tuple[int, int], clock: Clock | None = None,
-                 done: Callable[[], None] | None = None) -> None:
+    def __init__(self, backend: tuple[int, int], clock: Clock, done: Callable[[], None] | None) -> None:
         """`done` is told once the engine has read it, or has not within a while."""
         self.backend, self.clock, self.done = backend, clock, done
         self.timer: Timer | None = None
@@ -255,7 +263,7 @@
     def connectionMade(self) -> None:
         """Say it and go; where somebody waits, once the engine ends the connection, as it does when it has read it."""
         self.transport.write(pg.pack_cancel(*self.backend))
-        if self.clock is None:
+        if self.done is None:
             self.transport.loseConnection()
         else:
             self.timer = self.clock.call_later(CANCEL, self._unread)
@@ -285,7 +293,7 @@
 
     def start(self, attempt: Attempt) -> None:
         """Run on a free connection, else on a new one."""
-        free = [x for x in self.links if not (x.attempt or x.freed or x.closed)]
+        free = [x for x in self.links if x.free]
         # One that is ready comes before one that is still coming up.
         link = max(free, key=lambda x: x.ready, default=None)
         if link is None and len(self.links) >= self.client.settings.connections:
@@ -314,7 +322,7 @@
             if done is not None:
                 done()
 
-        self._dial(Canceller(backend, self.client.clock if done is not None else None, done)).addErrback(lost)
+        self._dial(Canceller(backend, self.client.clock, done)).addErrback(lost)
 
     def retire(self) -> None:
         """The engine has gone, or has moved: close what is not in use, and the rest when it ends."""
@@ -340,9 +348,10 @@
         """A ready connection is kept for an attempt that is yet to be started; "" where there is none."""
         pool = self.pools.get(attempt.engine)
         for link in pool.links if pool is not None else ():
-            if link.ready and link.backend != (0, 0) and not (link.attempt or link.freed or link.closed):
+            if link.ready and link.trace and link.free:
                 attempt.handle = link
-                return link.hold(attempt)
+                link.hold(attempt)
+                return link.trace
         return b""
 
     def start(self, attempt: Attempt) -> None:
