Read before acting after a standstill, and let nothing begin after it may no longer begin

Read: every path between a request's arrival and its bytes at an engine, asking what if a word comes between two lines. - Dispatcher._step and _due_now ran their overdue timers before what lay unread. Two passes of reading come first now. - EngineLink.connectionMade sent all that had waited for the handshake, whatever had become of it: past a keyed class' window, or past the grace of an engine that drains. An attempt now has the time until which it may begin; the list, the class and the deadline set it. Pool.retire let a handshake go on to an address that may be another engine's by then. - EngineLink.add handed requests to a transport that the engine does not take bytes from: they began when it read on, with their clients long gone. They wait outside now, may be withdrawn, and a reset proves that they never ran. - EngineLink._answer believed `full` and `moot` (never ran) after a page or a note of progress of the same attempt, so that an unsafe request went a second time. That is an error that may have run now. - Dispatcher._send also holds back, whatever the module says, a repeat that the class does not allow. The PostgreSQL engines follow the same times.

--- a/decklb/core/dispatcher.py
+++ b/decklb/core/dispatcher.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from heapq import heappop, heappush
 
@@ -14,8 +15,9 @@
 
 from decklb import interface as api
 from decklb.core.ports import AnswerSink, Clock, EngineClient, Places, Timer, Work
-from decklb.interface import Outcome
+from decklb.interface import Effect, Outcome
 from decklb.rules import Gateway
+from decklb.state import NEVER_RAN
 
 # A budget runs from when the client sent its request, which is some time before it is read here whole, and the
 # last answer needs its way back: the module is told of this much less. With 15 ms a client was seen to stop waiting
@@ -26,6 +28,10 @@
 BACKSTOP = 10.0
 # Deadlines share one timer: two timers of the reactor's for each request took a tenth of a busy core.
 WATCH = 2.0
+# A process that was held up has unread, next to its own timers, that clients have left, that engines have answered and
+# that the list has changed. What it does then it does after it has read: an attempt must not begin more than 100 ms
+# after its client has left. Two passes: what a connection brought comes in the first, its end in the second.
+HELD = 40.0
 
 
 class Request:
@@ -46,13 +52,14 @@
 class Attempt:
     """One send of a request to one engine, named by its directory id."""
 
-    __slots__ = ("request", "leg", "engine", "started", "deadline", "given_up", "overdue", "ended", "handle",
-                 "_owner")
+    __slots__ = ("request", "leg", "engine", "started", "deadline", "latest", "given_up", "overdue", "ended",
+                 "outcome", "handle", "_owner")
 
     def __init__(self, owner: Dispatcher, request: Request, engine: str, started: float, wait: float) -> None:
         self.request, self.engine, self.started, self._owner = request, engine, started, owner
         self.leg = len(request.attempts)
-        self.deadline = started + wait
+        self.deadline = self.latest = started + wait  # latest: after this it may no longer begin
+        self.outcome: Outcome | None = None
         self.given_up = self.overdue = self.ended = False
         self.handle: object = None  # the engine client's own
 
@@ -79,6 +86,7 @@
         self._pending: list[api.Event] = []
         self._closed: list[str] = []  # answered, and the module may not know yet
         self._due: Timer | None = None
+        self._due_at = 0.0
         self._last = clock.now() - settings.tick
         # (when, request, leg), leg -1 for the request itself; what has ended since is passed over when due.
         self._deadlines: list[tuple[float, str, int]] = []
@@ -115,6 +123,13 @@
 
     def members(self, entries: list[api.Entry]) -> None:
         """The whole list of engines, as last heard."""
+        # Guards the drains: what waits for a connection when its engine begins to drain may not begin much later.
+        up = {e.engine for e in entries if e.phase is api.Phase.UP}
+        latest = self.clock.now() + self.settings.drain_grace
+        for r in self.live.values():
+            for a in r.attempts:
+                if not a.ended and a.engine not in up:
+                    a.latest = min(a.latest, latest)
         self._post(api.Members(entries, True))
 
     def probed(self, engine: str, outcome: Outcome) -> None:
@@ -147,8 +162,19 @@
     def _post(self, event: api.Event) -> None:
         self._pending.append(event)
         if self._due is None:
-            wait = self._last + self.settings.tick - self.clock.now()
-            self._due = self.clock.call_later(max(0.0, wait), self._step)
+            now = self.clock.now()
+            self._due_at = max(now, self._last + self.settings.tick)
+            self._due = self.clock.call_later(self._due_at - now, lambda: self._read_first(self._due_at, self._step))
+
+    def _read_first(self, due: float, call: Callable[[], None]) -> None:
+        """Make a call that was due then; two passes of reading come first if we were held up."""
+        def second_pass() -> None:
+            self.clock.call_later(0.0, call)
+
+        if self.clock.now() - due <= HELD:
+            call()
+        else:
+            self.clock.call_later(0.0, second_pass)
 
     def _step(self) -> None:
         self._due = None
@@ -196,9 +222,10 @@
         left = r.deadline - now
         a = Attempt(self, r, action.engine, now, min(left, action.max_wait or left))
         out = r.out()
+        a.latest = min(a.latest, self._repeatable(r))
         r.attempts.append(a)
-        if r.answered or out or left <= 0:
-            # Guards the rule on overlap and final answers whatever the module says: it never goes out.
+        if r.answered or out or left <= 0 or now > a.latest:
+            # Guards the rules on overlap, repeats and final answers whatever the module says: it never goes out.
             if out:
                 logger.error("second attempt for {request} while one is out", event="overlap-stopped",
                              request=r.ident)
@@ -206,6 +233,14 @@
         self._watch(a.deadline, r, a.leg)
         self.engines.start(a)
 
+    def _repeatable(self, r: Request) -> float:
+        """Until when its class lets another attempt begin."""
+        ran = next((a for a in r.attempts if a.outcome not in NEVER_RAN), None)
+        spec = self.settings.classes.get(r.work.lane)
+        if ran is None or spec is None or spec.effect is Effect.SAFE:
+            return math.inf
+        return ran.started + spec.memory_span if spec.effect is Effect.KEYED else -math.inf
+
     def _forget(self, r: Request) -> None:
         # Requests and attempts name each other. Left to the garbage collector, thousands of such circles a
         # second made its full collections take 20 to 50 ms, in which deadlines passed.
@@ -216,7 +251,11 @@
         heappush(self._deadlines, (when, r.ident, leg))
         if not self._watching:
             self._watching = True
-            self.clock.call_later(WATCH, self._due_now)
+            self._look(WATCH)
+
+    def _look(self, wait: float) -> None:
+        due = self.clock.now() + wait
+        self.clock.call_later(wait, lambda: self._read_first(due, self._due_now))
 
     def _due_now(self) -> None:
         now, due = self.clock.now(), self._deadlines
@@ -229,7 +268,7 @@
                 self._overdue(r)
         self._watching = bool(due)
         if due:
-            self.clock.call_later(WATCH, self._due_now)
+            self._look(WATCH)
 
     def _give_up(self, a: Attempt, outcome: Outcome) -> None:
         if a.ended or a.given_up:
@@ -239,7 +278,7 @@
         self.engines.give_up(a, lambda: self._close(a, outcome))
 
     def _close(self, a: Attempt, outcome: Outcome) -> None:
-        a.ended, a.handle = True, None
+        a.ended, a.outcome, a.handle = True, outcome, None
         r = a.request
         if self.places is not None and outcome is not Outcome.NOP:
             self.places.ended(a.engine, r.work.lane, outcome, self.clock.now() - a.started)
--- a/decklb/net/engines.py
+++ b/decklb/net/engines.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from loguru import logger
+from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.protocol import Factory, Protocol
@@ -35,16 +36,18 @@
 # answers came within 5 ms of their first byte and pages within 20 ms when measured (0656a3b9).
 SWEEP, MOST_LOOKS = 100.0, 6  # ms between looks; how many find the same piece
 ENDS = {b"full": Outcome.FULL, b"failed": Outcome.BAD, b"moot": Outcome.NOP}
-NOTES = {"p": 1, "s": 2, "w": 3}
+NOTES, WAITS = {"p": 1, "s": 2, "w": 3}, 3
+STUCK = 20.0  # ms that bytes may lie in our transport before no further request joins them
 
 
 class Call:
     """An attempt on a connection, and the pages that have come."""
 
-    __slots__ = ("attempt", "link", "pages", "size", "looks")
+    __slots__ = ("attempt", "link", "pages", "size", "looks", "sent", "ran")
 
     def __init__(self, attempt: Attempt, link: EngineLink) -> None:
         self.attempt, self.link = attempt, link
+        self.sent = self.ran = False  # given to the transport; the engine has shown that it ran
         self.pages: list[bytes | None] = []
         self.size = 0
         self.looks = 0  # since the last page came
@@ -83,9 +86,11 @@
         self.up = self.closed = self.retired = False
         self.overdue = False  # an attempt timed out here, and nothing has come since
         self.looks = 0  # since the answer began that has come in part
+        self.unsent: float | None = None  # since when the transport has had bytes that are not sent
         self.reader = resp.RespReader()
         self.reason = "peer-closed"
         self.idle: Timer | None = None
+        self.dialing: Deferred[Any] | None = None  # while the handshake goes on
 
     def takes(self, ident: bytes) -> bool:
         """Whether an attempt with this id may go on this connection."""
@@ -96,35 +101,58 @@
         """Send the attempt, now or when the connection is up."""
         self.calls[call.ident] = call
         self._rest()
-        if self.up:
+        if self.up and not self.stuck:
             self._do(call)
 
     def drop(self, call: Call) -> None:
         """Nobody waits for this attempt any more."""
         if self.calls.pop(call.ident, None) is None:
             return
-        if self.up:
+        if call.sent:
             self.spent.add(call.ident)
             self.overdue = self.overdue or call.attempt.overdue
-            self.transport.write(resp.pack(b"forget" if call.pages else b"undo", call.ident))
+            self._write(resp.pack(b"forget" if call.pages else b"undo", call.ident))
         self._rest()
 
+    @property
+    def stuck(self) -> bool:
+        """Whether the engine does not take what it is sent. A request behind that would begin when nobody knows."""
+        return self.unsent is not None and self.pool.client.clock.now() - self.unsent > STUCK
+
     def _do(self, call: Call) -> None:
-        work, a = call.attempt.request.work, call.attempt
-        left = max(1, int(a.deadline - self.pool.client.clock.now()))
-        fields = {"queue": work.lane, "budget": str(left)}
+        work, a, now = call.attempt.request.work, call.attempt, self.pool.client.clock.now()
+        if now > a.latest:  # it waited too long for its connection: its engine drains, or it may not be repeated now
+            del self.calls[call.ident]
+            return a.end(Outcome.NOP)
+        fields = {"queue": work.lane, "budget": str(max(1, int(a.deadline - now)))}
         if work.token:
             fields["uniq"] = work.token
-        self.transport.write(resp.pack(b"do", call.ident, resp.pack_fields(fields), work.statement))
+        call.sent = True
+        self._write(resp.pack(b"do", call.ident, resp.pack_fields(fields), work.statement))
+
+    def _write(self, data: bytes) -> None:
+        if self.unsent is None:
+            self.unsent = self.pool.client.clock.now()
+        self.transport.write(data)
 
     def connectionMade(self) -> None:
         """The handshake is over."""
         self.up = True
         self.transport.setTcpNoDelay(True)
-        for call in self.calls.values():
+        self.transport.registerProducer(self, False)
+
+    # The transport tells each time that nothing is left to send, first when the connection is up.
+
+    def resumeProducing(self) -> None:
+        """What waited for the connection, or for the engine to read on, goes out."""
+        self.unsent = None
+        for call in [c for c in self.calls.values() if not c.sent]:
             self._do(call)
         self._rest()
 
+    def stopProducing(self) -> None:
+        """The connection is ending."""
+
     def dataReceived(self, data: bytes) -> None:
         """Answers, split anywhere."""
         if self.closed:
@@ -161,8 +189,9 @@
             if count is None:
                 raise resp.RespError("no number of pages")
             call.pages = [None] * count
+            call.ran = True
             call.page(0, body)
-            self.transport.write(b"".join(resp.pack(b"page", ident, b"%d" % n) for n in range(1, count)))
+            self._write(b"".join(resp.pack(b"page", ident, b"%d" % n) for n in range(1, count)))
             self._check(call)
         elif word == b"page" and call.pages:
             number = _count(fields.get("part_no", ""), 1, len(call.pages) - 1)
@@ -170,8 +199,8 @@
                 raise resp.RespError("no such page")
             call.page(number, body)
             self._check(call)
-        elif word in ENDS:
-            self._end(call, ENDS[word])
+        elif word in ENDS:  # who has begun a result, or told of progress, can't say that it never ran
+            self._end(call, Outcome.BAD if call.ran else ENDS[word])
         elif word not in (b"data", b"page"):  # of these, a second copy
             raise resp.RespError("unknown word")
 
@@ -183,7 +212,7 @@
     def _end(self, call: Call, outcome: Outcome, result: bytes = b"") -> None:
         del self.calls[call.ident]
         if call.pages:  # the engine keeps them until it is told
-            self.transport.write(resp.pack(b"forget", call.ident))
+            self._write(resp.pack(b"forget", call.ident))
         if outcome is not Outcome.GOOD:
             self.spent.add(call.ident)
         self._rest()
@@ -193,7 +222,9 @@
         kind = NOTES.get(fields.get("detail", ""))
         if kind is not None:
             try:
-                call.attempt.note(kind, float(fields.get("value", "")))
+                level = float(fields.get("value", ""))
+                call.ran = call.ran or kind != WAITS and level > 0
+                call.attempt.note(kind, level)
             except ValueError:
                 logger.debug("note without a number from {engine}", event="bad-note", engine=self.pool.engine)
 
@@ -209,11 +240,17 @@
     def _close_idle(self) -> None:
         self.idle = None
         self.closed, self.reason = True, "retired" if self.retired else "idle"
+        self.transport.unregisterProducer()
         self.transport.loseConnection()
 
     def retire(self) -> None:
-        """No new attempt; close once what is out has ended."""
+        """No new attempt; close once what is out has ended.
+
+        What is not up yet never comes up: its address may be another engine's by then.
+        """
         self.retired = True
+        if not self.up and self.dialing is not None:
+            self.dialing.cancel()
         self._rest()
 
     def _abort(self, reason: str) -> None:
@@ -249,7 +286,7 @@
             self.idle = None
         calls, self.calls = list(self.calls.values()), {}
         for call in calls:
-            call.attempt.end(outcome)
+            call.attempt.end(outcome if call.sent else Outcome.NOCONN)
 
 
 class Pool:
@@ -274,7 +311,8 @@
         endpoint = TCP4ClientEndpoint(self.client.reactor, host, port, self.client.connect_timeout / 1000)
         factory: Any = Factory.forProtocol(lambda: link)
         factory.noisy = False
-        endpoint.connect(factory).addErrback(link.refused)
+        link.dialing = endpoint.connect(factory)
+        link.dialing.addErrback(link.refused)
         return link
 
     def retire(self) -> None:
--- a/decklb/pg/engines.py
+++ b/decklb/pg/engines.py
@@ -60,6 +60,7 @@
         self.result, self.size = list[bytes](), 0
         self.error: dict[str, str] | None = None
         self.timer: Timer | None = None
+        self.dialing: Any = None  # while the handshake goes on
         self._count = 0
 
     @property
@@ -172,7 +173,13 @@
         self.ready = True
         attempt, freed, sent = self.attempt, self.freed, self.sent
         if attempt is not None and not sent:  # it waited for the connection
-            return None if self.held else self._send()
+            if not self.held and self.pool.client.clock.now() <= attempt.latest:
+                self._send()
+            elif not self.held:  # it waited too long: its engine drains, or it may not be repeated now
+                self.attempt = None
+                self._rest()
+                attempt.end(Outcome.NOP)
+            return
         self.attempt, self.freed, self.sent = None, None, False
         self._rest()
         if freed is not None:
@@ -216,6 +223,13 @@
             self.timer.cancel()
             self.timer = None
 
+    def withdraw(self) -> None:
+        """End what is still coming up: its address may be another engine's by then."""
+        if self.up:
+            self._abort("retired")
+        elif self.dialing is not None:
+            self.dialing.cancel()
+
     def _abort(self, reason: str) -> None:
         self.closed, self.reason = True, reason
         self.transport.abortConnection()
@@ -305,7 +319,8 @@
     def _connect(self) -> PgLink:
         link = PgLink(self)
         self.links.add(link)
-        self._dial(link).addErrback(link.refused)
+        link.dialing = self._dial(link)
+        link.dialing.addErrback(link.refused)
         return link
 
     def _dial(self, protocol: Protocol) -> Any:
@@ -331,6 +346,8 @@
             if link.ready and not link.held:
                 link._stop_timer()
                 link._idle()
+            elif not (link.ready or link.sent):
+                link.withdraw()
 
 
 class PgEngines(Pools[PgPool]):
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -60,7 +60,9 @@
         self.answers.append(("failed", None))
 
 
-class Core(unittest.TestCase):
+class Rig(unittest.TestCase):
+    """A dispatcher between what it asks for and what a test lets happen."""
+
     def setUp(self):
         self.clock, self.engines = TestClock(), Engines()
         self.d = Dispatcher(settings_from(SETTINGS), 1, self.clock, self.engines)
@@ -77,6 +79,8 @@
             self.clock.go(1)
         self.fail("no attempt")
 
+
+class Core(Rig):
     def test_one_answer_and_late_words_are_ignored(self):
         r, sink = self.ask()
         self.run_until_started(1)
