Close client connections at once and by halves, and lose nothing that comes at that moment

Read: shutdown, evictions and errors of the platform's front, byte by byte. - Client.close asked whether something lay unread and let the transport close one pass later; what was read in between was thrown away, and what was not read then turned the close into a reset. It looks and shuts its half in one go now, only when nothing is open, unsent, unread or half said; the other half is read until the client closes it. - Client._done closed a draining connection in the middle of a message; it waits for the message's end now. - Service._drain closed the listener over connections that waited in the machine's queue: of 30 that came while the process stood still, 20 were reset.

--- a/decklb/daemon/service.py
+++ b/decklb/daemon/service.py
@@ -22,7 +22,8 @@
 LONGEST, LAST_CALL = 3000.0, 100.0  # ms; what is open so long before that is answered then
 GRACE = 700.0  # ms after SIGTERM in which clients that do not know yet are still taken in
 HEARD = 3000.0  # ms after which the list of the start must do where the directory does not answer
-FLUSH = 500.0  # ms for last answers to leave
+FLUSH, AGAIN = 500.0, 50.0  # ms for last answers to leave; between looks whether some client is owed more
+BACKLOG = 512  # connections that may wait in the machine's queue
 
 
 class Service:
@@ -47,6 +48,7 @@
         self.listening = self.stopping = self.late = False
         self.port: Any = None
         self.final: Timer | None = None
+        self.latest = 0.0  # by when we exit, whoever still waits: soon after we are killed
 
     def start(self) -> None:
         """Open everything. Raises what Twisted raises when the address can't be had."""
@@ -57,7 +59,7 @@
         else:
             self._open_directory()
             self.clock.call_later(HEARD, self._no_word)
-        self.port = self.reactor.listenTCP(c.listen[1], self.front, backlog=512, interface=c.listen[0])
+        self.port = self.reactor.listenTCP(c.listen[1], self.front, backlog=BACKLOG, interface=c.listen[0])
         self.front.listens(self.port)
         self.listening = True
         if self.speaker is not None:
@@ -177,8 +179,9 @@
             self._leave()
         self.front.announce()
         self.clock.call_later(GRACE, self._drain)
-        longest = max(c.deadline for c in self.config.settings.classes.values())
-        self.clock.call_later(max(GRACE, min(LONGEST, longest) - LAST_CALL), self.dispatcher.close)
+        longest = min(LONGEST, max(c.deadline for c in self.config.settings.classes.values()))
+        self.latest = self.clock.now() + longest + GRACE - 2 * LAST_CALL
+        self.clock.call_later(max(GRACE, longest - LAST_CALL), self.dispatcher.close)
 
     def _leave(self) -> None:
         if self.handoff is not None:
@@ -192,6 +195,10 @@
 
     def _drain(self) -> None:
         self.listening = False
+        # Whoever waits in the machine's queue has been told that it is connected, and may have sent a request: closing
+        # would reset it.
+        self.port.numberAccepts = BACKLOG
+        self.port.doRead()
         self.port.stopListening()
         self.dispatcher.on_idle = self._stop
         self.front.close()
@@ -206,16 +213,22 @@
                 self.speaker.close()
             if self.handoff is not None:
                 self.clock.call_later(FLUSH / 2, self._leave)  # last answers wait for a quorum before they are given
-            self.final = self.clock.call_later(FLUSH, self.reactor.stop)
+            self.final = self.clock.call_later(FLUSH, self._end)
+
+    def _end(self) -> None:
+        """Exit once no client is in the middle of a message or of an answer, or when there is no time left."""
+        if self.front.owing and self.clock.now() < self.latest:
+            self.final = self.clock.call_later(AGAIN, self._end)
+        else:
+            self.reactor.stop()
 
     def run(self) -> None:
         """Serve until the end."""
-        # Before anybody can hear that we are ready: the default would end the process.
-        signal.signal(signal.SIGHUP, lambda *_: self.reactor.callFromThread(self.reload))
+        # Before anybody can connect: the defaults, and the reactor's own for SIGTERM, would end the process at once,
+        # with what it has taken.
+        for number, call in ((signal.SIGHUP, self.reload), (signal.SIGTERM, self.terminate),
+                             (signal.SIGINT, self.reactor.stop)):
+            signal.signal(number, lambda *_, call=call: self.reactor.callFromThread(call))
         self.start()
         Collector(self.clock, lambda: not self.dispatcher.open).start()
-        self.reactor.callWhenRunning(lambda: signal.signal(signal.SIGTERM, self._signal))
-        self.reactor.run()
-
-    def _signal(self, *_: object) -> None:
-        self.reactor.callFromThread(self.terminate)
+        self.reactor.run(installSignalHandlers=False)
--- a/decklb/net/front.py
+++ b/decklb/net/front.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 from loguru import logger
@@ -22,6 +24,7 @@
 SWEEP, RETRY = 100.0, 10.0  # ms between looks at what is overdue; between tries to find places
 CROWDED = 200.0  # ms without a place after which newcomers come in to be refused
 ACCEPTS = 10  # connections taken in one go
+MOST_FAULTS = 8  # frames that can't be used, after which a connection ends
 
 
 class Answer:
@@ -54,52 +57,61 @@
         self.front = front
         self.reader = frames.FrameReader()
         self.open: dict[int, Request | None] = {}
-        self.unread = 0  # bytes that wait for a slow reader
-        self.stuck = False
+        self.unsent = 0  # bytes written since the transport last had none left
         self.held = 0  # what this connection adds to the front's sum
-        self.spoken = self.ending = False  # a whole message has come; nothing more is read
+        self.spoken = False  # a whole message has come that can be used
+        self.mute = False  # what it says can't be read any more
+        self.warned = False  # told to send nothing new
+        self.parting = ""  # why it is to end once nothing is owed on it
+        self.ending = False  # our half is closed: what still comes is thrown away
         self.crowded = False  # it came when every place was in use, and is refused
         self.reason = "client-closed"
-        self.taken = 0
+        self.taken = self.faults = 0
 
     def connectionMade(self) -> None:
         """Find it a place."""
         self.transport.setTcpNoDelay(True)
-        self.transport.registerProducer(self, True)
+        # Not streaming: it is told each time that nothing is left to send.
+        self.transport.registerProducer(self, False)
         self.front.joined(self)
         if self.front.closing:
             self.go_away()
 
-    # The transport tells whether the client reads what it is sent.
-
-    def pauseProducing(self) -> None:
-        """The client reads slowly. What it has sent is taken all the same, or its requests would be lost."""
-        self.stuck = True
+    # The transport tells whether the client reads what it is sent. If it reads slowly, what it has sent is taken all
+    # the same, or its requests would be lost.
 
     def resumeProducing(self) -> None:
         """All that was written has gone."""
-        self.stuck, self.unread = False, 0
-        self._hold()
+        if self.unsent:
+            self.unsent = 0
+            self._hold()
+            self._done()
 
     def stopProducing(self) -> None:
         """The connection is ending."""
 
     def dataReceived(self, data: bytes) -> None:
         """Frames, split anywhere."""
-        if self.ending:
+        if self.mute or self.ending:
             return
         whole = False
         try:
             for frame in self.reader.feed(data):
-                self.spoken = whole = True
+                whole = True
                 self._frame(frame)
+                if self.mute:
+                    return
         except ProtocolError as error:
             return self.error(error.reason)
         self.front.file(self, whole)
         self._hold()
+        self._part()
 
     def _frame(self, frame: frames.Frame) -> None:
         if frame.type == frames.REQUEST:
+            if frame.stream == 0 or frame.stream in self.open:
+                # An answer under a number in use would be a second answer to the first request.
+                return self._fault("stream-in-use")
             self._request(frame)
         elif frame.type == frames.GONE:
             if (request := self._release(frame.stream)) is not None:
@@ -108,13 +120,21 @@
         elif frame.type == frames.ASK_READY:
             self._write(frames.pack(frames.READY, frame.stream, bytes([self.front.ready()]) + b"\0"))
         else:
-            raise ProtocolError("unknown-type")
+            return self._fault("unknown-type")
+        self.spoken = True
+
+    def _fault(self, reason: str) -> None:
+        """A whole frame that can't be used: it is passed over, and what else is open here lives on."""
+        self.faults += 1
+        if self.faults > MOST_FAULTS:
+            return self.error(reason)
+        peer = self.transport.getPeer()
+        logger.info("frame passed over: {reason} peer={peer}", event="frame-passed-over", reason=reason,
+                    peer=f"{getattr(peer, 'host', '?')}:{getattr(peer, 'port', 0)}")
+        self._write(frames.pack_answer(0, frames.FAILED, {"reason": reason}))
 
     def _request(self, frame: frames.Frame) -> None:
         stream = frame.stream
-        if stream == 0 or stream in self.open:
-            # An answer under a number in use would be a second answer to the first request.
-            raise ProtocolError("stream-in-use")
         self.open[stream] = None
         try:
             work = frames.read_request(frame.payload, self.front.dispatcher.settings)
@@ -143,60 +163,81 @@
 
     def _write(self, data: bytes) -> None:
         self.transport.write(data)
-        if self.stuck:
-            self.unread += len(data)
-            self._hold()
+        self.unsent += len(data)
+        self._hold()
 
     def _hold(self) -> None:
         """Guards the memory limit: what clients leave unread or half sent is bounded, each and in sum."""
-        held = self.unread + len(self.reader.buffer)
+        held = self.unsent + len(self.reader.buffer)
         self.front.held += held - self.held
         self.held = held
-        if self.unread > MOST_UNREAD:
+        if self.unsent > MOST_UNREAD:
             self.abort("slow-reader")
         elif self.front.held > self.front.most_held:
             max(self.front.clients, key=lambda c: c.held).abort("too-much-held")
 
     def error(self, reason: str) -> None:
-        """Say what was wrong, under no request, and end. What is open gets its one answer first."""
-        self.reason, self.ending = reason, True
-        for stream, request in list(self.open.items()):
-            if request is not None:
-                self.front.dispatcher.abandon(request)
-            self.answer(stream, frames.FAILED, {"reason": reason})
-        self._write(frames.pack_answer(0, frames.FAILED, {"reason": reason}))
+        """Nothing more can be read: say why, under no request, and end once what is open has its answer."""
+        if self.mute or self.ending:
+            return
+        self.mute, self.parting = True, reason
         self.reader = frames.FrameReader()
-        self._hold()
-        self.transport.unregisterProducer()
-        # Only this half is closed: closing with bytes unread would send a reset, which can overtake what was said.
-        self.transport.loseWriteConnection()
-        self.front.file(self)
+        self._write(frames.pack_answer(0, frames.FAILED, {"reason": reason}))
+        self.part(reason)
 
     def go_away(self) -> None:
-        """No new request here; close once what is open has its answer."""
-        if not self.ending:
+        """No new request here; once the front closes, it ends when what is open has its answer."""
+        if not self.warned and not self.ending:
+            self.warned = True
             self._write(frames.pack(frames.GO_AWAY, 0))
-            self._done()
+        if self.front.closing:
+            self.part("drained")
+
+    def part(self, reason: str) -> None:
+        """End as soon as nothing is owed here. What comes before that is answered."""
+        self.parting = self.parting or reason
+        self.front.file(self)
+        self._part()
+
+    def _part(self) -> None:
+        if self.parting and not self.open and not (self.reader.buffer and not self.mute):
+            self.close(self.parting)
+
+    def close(self, reason: str) -> bool:
+        """Close our half now if nothing is owed; what comes later is thrown away until the client closes its own.
+
+        Looking whether something lies unread and closing have to be one: the transport closes a pass later, and what
+        is read in between would never be answered. The other half stays open, since a reset over unread bytes can
+        overtake the last answer.
+        """
+        if self.ending or self.open or self.unsent or not self.mute and self.heard():
+            return False
+        self.reason, self.ending = reason, True
+        with suppress(OSError):  # the client was quicker
+            self.transport.getHandle().shutdown(socket.SHUT_WR)
+        self.reader = frames.FrameReader()
+        self._hold()
+        self.front.file(self)
+        return True
 
     def _done(self) -> None:
-        if self.open or self.ending:
-            return
-        if self.front.closing and not self.heard():  # what lies unread is answered first
-            self.close("drained")
-        else:
+        if not self.open and not self.ending:
+            self._part()
             self.front.file(self)
 
     def heard(self) -> bool:
         """Whether something that it said lies unread."""
         return unread(self.transport)
 
-    def close(self, reason: str) -> None:
-        """End the connection once what was written has gone."""
-        if not self.ending:
-            self.reason, self.ending = reason, True
-            self.transport.unregisterProducer()
-            self.transport.loseConnection()
-            self.front.file(self)
+    @property
+    def owed(self) -> bool:
+        """Whether it waits for an answer, or is in the middle of a message."""
+        return not self.ending and bool(self.open or self.unsent or self.reader.buffer)
+
+    def drop(self) -> None:
+        """Give its descriptor back; the machine still delivers what was sent."""
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
 
     def abort(self, reason: str) -> None:
         """End it with what was not read or written."""
@@ -278,9 +319,11 @@
     def file(self, client: Client, whole: bool = False) -> None:
         """File a connection anew after something came or went; `whole`: a message has ended just now."""
         now = self.dispatcher.clock.now()
-        if client.ending:
+        if client.ending or client.mute:
+            since = self.lingering.get(client, now)
             self._forget(client)
-            self.lingering[client] = now
+            if client.ending or not client.open:
+                self.lingering[client] = since
             return self._watch()
         if not client.spoken:
             return
@@ -303,36 +346,45 @@
     def _make_room(self) -> None:
         """Close what waits for nothing: what was refused before, the silent after a while, the longest idle.
 
-        Those that have spoken make room for others that have, not for the silent.
+        Those that have spoken make room for others that have, not for the silent. What is closed counts until its
+        descriptor is free.
         """
         settled = self.dispatcher.clock.now() - SETTLED
-        while len(self.clients) > self.most_clients:
-            if (client := self._oldest(self.lingering, settled)) is not None:
-                client.abort(client.reason)
-            elif (client := self._oldest(self.silent, settled)) is not None:
-                if client.heard():  # it is we who were held up
+        while self._crowd() and (client := self._oldest(self.lingering, settled)) is not None:
+            self._drop(client)
+        while self._crowd() > len(self.lingering):
+            if (client := self._oldest(self.silent, settled)) is not None:
+                if not client.close("evicted-silent"):  # it is we who were held up
                     del self.silent[client]
                     self.silent[client] = settled + SETTLED
-                    continue
-                client.close("evicted-silent")
-            elif len(self.clients) - len(self.silent) > self.most_clients and self.idle:
+            elif self._crowd() > len(self.silent) + len(self.lingering) and self.idle:
                 client = next(iter(self.idle))
-                if client.heard():
+                if not client.close("evicted-idle"):
                     # A request that was written long before we close would be lost; it has only not been read yet.
                     self._forget(client)
-                    continue
-                client.close("evicted-idle")
             else:
                 break
-            self.clients.discard(client)
         # What comes when no place is left waits in the machine's queue: within SETTLED somebody may go.
         full = len(self.clients) >= self.most_clients + self.spare_clients
         self.overrun = self.overrun and full
         self._pause(full)
 
+    def _crowd(self) -> int:
+        """How many connections there are beyond the places."""
+        return max(0, len(self.clients) - self.most_clients)
+
+    def _drop(self, client: Client) -> None:
+        """Its time to close from its own side is over."""
+        self.clients.discard(client)
+        self._forget(client)
+        if client.ending:
+            client.drop()
+        else:  # it doesn't read what it is told
+            client.abort(client.parting)
+
     def _oldest(self, group: dict[Client, float], before: float) -> Client | None:
-        """The first of a group that is in it since before then and is not on its way out."""
-        return next((c for c, when in group.items() if when < before and c in self.clients), None)
+        """The first of a group if it is in it since before then."""
+        return next((c for c, when in group.items() if when < before), None)
 
     def _pause(self, full: bool) -> None:
         if self.port is None or self.closing:
@@ -363,13 +415,14 @@
     def _sweep(self) -> None:
         """End what is overdue."""
         now = self.dispatcher.clock.now()
-        for group, limit, reason in ((self.silent, FIRST, "no-message"), (self.half, HALF, "half-message"),
-                                     (self.lingering, LINGER, "")):
+        for group, limit, reason in ((self.silent, FIRST, "no-message"), (self.half, HALF, "half-message")):
             for client in [c for c, since in group.items() if now - since > limit]:
-                if not reason:
-                    client.abort(client.reason)
-                elif not client.heard():
+                if not client.heard():
                     client.error(reason)
+        for client in [c for c, since in self.lingering.items() if now - since > LINGER]:
+            self._drop(client)
+        if self._crowd():
+            self._make_room()
         self._watching = bool(self.silent or self.half or self.lingering)
         if self._watching:
             self.dispatcher.clock.call_later(SWEEP, self._sweep)
@@ -386,3 +439,8 @@
         self.closing = True
         for client in list(self.clients):
             client.go_away()
+
+    @property
+    def owing(self) -> bool:
+        """Whether some client still waits for something."""
+        return any(client.owed for client in self.clients)
--- a/decklb/pg/front.py
+++ b/decklb/pg/front.py
@@ -575,6 +575,11 @@
     def announce(self) -> None:
         """Nothing in this protocol says it before the end."""
 
+    @property
+    def owing(self) -> bool:
+        """Whether some client has not yet taken all that it was told."""
+        return any(session.stuck for session in self.sessions)
+
     def close(self) -> None:
         """Take nothing new; sessions end with what they have under way."""
         self.closing = True
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -2,18 +2,28 @@
 
 from __future__ import annotations
 
+import signal
+import socket
+import time
 import unittest
 from dataclasses import replace
 
-from test_dispatcher import Rig, Sink, TestClock
+import pytest
+from test_dispatcher import SETTINGS, Rig, Sink, TestClock
+from test_program import Client, RespEngine, request
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
 from decklb import interface as api
-from decklb.core.dispatcher import HELD, Attempt, Request
+from decklb.core.dispatcher import HELD, Attempt, Dispatcher, Request
 from decklb.core.ports import Work
+from decklb.daemon.service import Service
 from decklb.interface import Effect, Outcome
-from decklb.net import resp
+from decklb.net import frames, resp
 from decklb.net.engines import STUCK, RespEngines
+from decklb.net.front import ACCEPTS, LINGER, Front
+from decklb.net.front import Client as Connection
+from decklb.settings import settings_from
+from tests.standins import Loop, Program, known, wait_for
 
 
 class HeldUp(Rig):
@@ -192,3 +202,187 @@
             both = before + resp.pack(b"ID", word, b"-", b"")
             link.dataReceived(both.replace(b"$2\r\nID", b"$16\r\n" + a.request.work.rid.encode()))
             self.assertEqual(self.ends, [(a, outcome)], (before, word))
+
+
+class Half(StringTransport):
+    """A client's side is a real socket pair; what is written leaves when the test says so."""
+
+    def __init__(self):
+        super().__init__()
+        self.ours, self.theirs = socket.socketpair()
+        self.ours.setblocking(False)
+        self.theirs.settimeout(20)
+        self.aborted = self.closed = False
+
+    def getHandle(self):
+        return self.ours
+
+    def setTcpNoDelay(self, on):
+        pass
+
+    def flush(self):
+        self.clear()
+        self.producer.resumeProducing()
+
+    def loseConnection(self):
+        self.closed = True
+
+    def abortConnection(self):
+        self.aborted = True
+
+    def half_closed(self):
+        self.theirs.setblocking(False)
+        try:
+            return self.theirs.recv(1) == b""
+        except BlockingIOError:
+            return False
+
+
+class Closing(unittest.TestCase):
+    """What comes in the moment in which a connection closes."""
+
+    def setUp(self):
+        self.clock = TestClock()
+        self.taken = []
+        core = Dispatcher(settings_from(SETTINGS), 1, self.clock, self)
+        self.front = Front(core, lambda: True, 1, 4, 1 << 20)
+
+    def start(self, attempt):
+        self.taken.append(attempt)
+
+    def give_up(self, attempt, freed):
+        freed()
+
+    def connect(self):
+        client, transport = Connection(self.front), Half()
+        client.makeConnection(transport)
+        self.addCleanup(transport.ours.close)
+        self.addCleanup(transport.theirs.close)
+        return client, transport
+
+    def idle(self):
+        client, transport = self.connect()
+        client.dataReceived(frames.pack(frames.ASK_READY, 1, b"\0"))
+        transport.flush()
+        return client, transport
+
+    def crowd(self, client):
+        """Another connection that has spoken, so that the first has to make room."""
+        other, transport = self.idle()
+        return other, transport
+
+    def test_an_idle_connection_closes_at_once_with_nothing_read_in_between(self):
+        client, transport = self.idle()
+        self.crowd(client)
+        self.assertTrue(client.ending and transport.half_closed())
+        client.dataReceived(request(1, b"rows 1"))  # it crossed: its client sends it once more elsewhere
+        self.assertEqual((self.taken, client.open), ([], {}))
+
+    def test_a_request_that_lies_unread_keeps_its_connection(self):
+        client, transport = self.idle()
+        transport.theirs.sendall(request(1, b"rows 1"))
+        self.crowd(client)
+        self.assertFalse(client.ending or transport.half_closed())
+
+    def test_a_last_answer_leaves_whole_before_its_connection_closes(self):
+        client, transport = self.idle()
+        self.front.close()
+        client.dataReceived(request(1, b"rows 1"))
+        self.assertIn(b"backoff", transport.value())
+        self.assertFalse(transport.half_closed())
+        transport.flush()
+        self.assertTrue(transport.half_closed())
+
+    def test_what_still_comes_before_the_close_is_answered(self):
+        client, transport = self.idle()
+        transport.theirs.sendall(b"x")  # something lies unread
+        self.front.close()
+        transport.flush()
+        self.assertFalse(client.ending)
+        transport.ours.recv(1)
+        whole = request(1, b"rows 1")
+        client.dataReceived(whole[:-1])  # in the middle of a message
+        transport.flush()
+        self.assertTrue(self.front.owing and not client.ending)
+        client.dataReceived(whole[-1:])
+        transport.flush()
+        self.assertTrue(client.ending and not self.front.owing)
+
+    def test_a_client_that_does_not_close_its_half_is_dropped_without_a_reset(self):
+        client, transport = self.idle()
+        self.front.close()
+        transport.flush()
+        self.clock.go(LINGER + 200)
+        self.assertEqual((transport.closed, transport.aborted), (True, False))
+
+    def test_who_reads_nothing_after_an_error_is_dropped(self):
+        client, transport = self.idle()
+        client.dataReceived(b"\xff" * 9)
+        self.clock.go(LINGER + 200)
+        self.assertTrue(transport.aborted)
+
+
+class Waiting:
+    """A front whose clients wait, and a reactor that is told to stop."""
+
+    def __init__(self, owing, clock, stopped):
+        self.now, self.stop = lambda: owing(clock.now()), lambda: stopped.append(clock.now())
+
+    @property
+    def owing(self):
+        return self.now()
+
+
+class End(unittest.TestCase):
+    """When the process exits."""
+
+    def test_it_waits_for_clients_that_are_owed_something_but_not_until_it_is_killed(self):
+        for owing, after in ((lambda now: now < 400, 400), (lambda now: True, 1000)):
+            service, clock, stopped = Service.__new__(Service), TestClock(), []
+
+            service.clock, service.latest = clock, 1000.0
+            service.front = service.reactor = Waiting(owing, clock, stopped)
+            service._end()
+            clock.go(2000)
+            self.assertEqual(len(stopped), 1)
+            self.assertTrue(after <= stopped[0] <= after + 100)
+
+
+def test_a_sigterm_that_comes_as_soon_as_anybody_can_connect_drains():
+    """The handler was set when the reactor ran, after the port was open."""
+    program = Program({"known": known(1)})  # it has said that it listens, and may do no more than that
+    try:
+        program.process.terminate()
+        assert program.process.wait(20) == 0
+        assert program.logged("SIGTERM: draining")
+    finally:
+        program.stop()
+
+
+@pytest.mark.parametrize("newcomers", [0, 3 * ACCEPTS])
+def test_who_came_while_a_draining_process_stood_still_is_answered_not_reset(newcomers):
+    """On a resting connection, or on new ones in the machine's queue when the listener closes."""
+    loop = Loop()
+    engine = RespEngine(loop)
+    program = Program({"known": known(engine.port)})
+    try:
+        resting = Client(program.port)
+        resting.send(frames.pack(frames.ASK_READY, 1, b"\0"))
+        resting.next()
+        program.process.terminate()
+        wait_for(lambda: program.logged("SIGTERM: draining"), "the drain")
+        program.process.send_signal(signal.SIGSTOP)
+        clients = [Client(program.port) for _ in range(newcomers)] or [resting]
+        for client in clients:
+            client.send(request(2, b"rows 1"))
+        time.sleep(1.0)  # what was due at the end of the grace is overdue when it goes on
+        program.process.send_signal(signal.SIGCONT)
+        for client in clients:
+            while (frame := client.next()).type != frames.ANSWER:
+                pass
+            assert frame.stream == 2
+        assert program.process.wait(20) == 0
+    finally:
+        program.stop()
+        engine.close()
+        loop.stop()
