Tell of our own resets when engines know, keep floods of errors out of the ration, ask sooner after outages

Read on, with the ration, repeats and the list in mind. - EngineLink._abort told at once that what was out had ended, though the reset that ends it at the engine leaves a pass later and may be overtaken by the next attempt on its way to another engine. What is given up waits 40 ms for just that (OVERTAKE); what is broken off now does too. - Gateway._verdict left requests that engines answer with errors in the count that widens the ration: a bad client's hundreds of requests that no engine can use allowed a manager more repeats. A request whose first attempt ends in an error no longer counts. - An attempt that never began (its connection did not come up in time) ended as one that may have run, so that an unsafe request was failed where it could be refused: Attempt.begun, set when the engine client gives it to its transport. - EngineLink._answer took an answer for a request that waits to be sent. - Polling: an engine that begins to drain as an outage begins counts as told 7 s later; the question after an outage of 8 s came up to 1 s late, which with the grace of 1 s that other settings give is past it. It waits at most a quarter of the grace. Each has a test that fails without it (tests/test_crossings.py, test_rules.py, test_directory.py).

--- a/decklb/core/dispatcher.py
+++ b/decklb/core/dispatcher.py
@@ -53,13 +53,14 @@
     """One send of a request to one engine, named by its directory id."""
 
     __slots__ = ("request", "leg", "engine", "started", "deadline", "latest", "given_up", "overdue", "ended",
-                 "outcome", "handle", "_owner")
+                 "outcome", "begun", "handle", "_owner")
 
     def __init__(self, owner: Dispatcher, request: Request, engine: str, started: float, wait: float) -> None:
         self.request, self.engine, self.started, self._owner = request, engine, started, owner
         self.leg = len(request.attempts)
         self.deadline = self.latest = started + wait  # latest: after this it may no longer begin
         self.outcome: Outcome | None = None
+        self.begun = True  # its engine client says no while it waits, as for a connection
         self.given_up = self.overdue = self.ended = False
         self.handle: object = None  # the engine client's own
 
@@ -275,7 +276,8 @@
             return
         a.given_up, a.overdue = True, outcome is Outcome.LATE
         # Until the engine has let go it is still out, and the module may not send another.
-        self.engines.give_up(a, lambda: self._close(a, outcome))
+        begun = a.begun
+        self.engines.give_up(a, lambda: self._close(a, outcome if begun else Outcome.NOP))
 
     def _close(self, a: Attempt, outcome: Outcome) -> None:
         a.ended, a.outcome, a.handle = True, outcome, None
--- a/decklb/daemon/service.py
+++ b/decklb/daemon/service.py
@@ -43,7 +43,8 @@
         self.maintenance = maintenance(reactor, self.clock, config, parts, self.cluster, self.locality, self._relist,
                                        self.terminate)
         self.listed: tuple[list[Entry], dict[str, tuple[str, int]]] = [], {}  # the list as the directory has it
-        self.directory = Directory(self.clock, config.resolver, self.rng.randrange, self._list)
+        self.directory = Directory(self.clock, config.resolver, self.rng.randrange, self._list,
+                                   config.settings.drain_grace)
         self.up = 0  # engines that the list calls up
         self.listening = self.stopping = self.late = False
         self.port: Any = None
--- a/decklb/net/directory.py
+++ b/decklb/net/directory.py
@@ -40,14 +40,14 @@
     transport: Any = None
 
     def __init__(self, clock: Clock, resolver: tuple[str, int] | None, draw: Callable[[int], int],
-                 changed: Callable[[list[Entry], dict[str, tuple[str, int]]], None]) -> None:
+                 changed: Callable[[list[Entry], dict[str, tuple[str, int]]], None], grace: float = 0.0) -> None:
         self.clock, self.draw, self.changed, self.resolver = clock, draw, changed, resolver
         self.rows: dict[str, Row] = {}
         self.index = -1
         self.heard = False  # a whole answer has come
         self.ident: int | None = None  # of the question that is out
         self.timer: Timer | None = None
-        self.polling = Polling(draw)
+        self.polling = Polling(draw, grace)
         self.faults: set[str] = set()  # told of since the last whole answer: each is logged once, not at each poll
         self.closed = False
         self._starts: dict[tuple[str, int], float] = {}
--- a/decklb/net/engines.py
+++ b/decklb/net/engines.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from loguru import logger
@@ -123,11 +124,12 @@
         work, a, now = call.attempt.request.work, call.attempt, self.pool.client.clock.now()
         if now > a.latest:  # it waited too long for its connection: its engine drains, or it may not be repeated now
             del self.calls[call.ident]
+            self._rest()
             return a.end(Outcome.NOP)
         fields = {"queue": work.lane, "budget": str(max(1, int(a.deadline - now)))}
         if work.token:
             fields["uniq"] = work.token
-        call.sent = True
+        call.sent = a.begun = True
         self._write(resp.pack(b"do", call.ident, resp.pack_fields(fields), work.statement))
 
     def _write(self, data: bytes) -> None:
@@ -140,6 +142,7 @@
         self.up = True
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, False)
+        self._rest()
 
     # The transport tells each time that nothing is left to send, first when the connection is up.
 
@@ -148,7 +151,6 @@
         self.unsent = None
         for call in [c for c in self.calls.values() if not c.sent]:
             self._do(call)
-        self._rest()
 
     def stopProducing(self) -> None:
         """The connection is ending."""
@@ -180,7 +182,7 @@
 
     def _answer(self, ident: bytes, word: bytes, fields: dict[str, str], body: bytes) -> None:
         call = self.calls.get(ident)
-        if call is None:  # given up before, answered before, or nobody's
+        if call is None or not call.sent:  # given up before, answered before, or nobody's
             return
         if word == b"news":
             self._note(call, fields)
@@ -254,10 +256,10 @@
         self._rest()
 
     def _abort(self, reason: str) -> None:
-        """What was out may have run, and is told at once: the reactor tells of the end a little later."""
+        """What was out may have run. It is out until the engine has learnt of the end, like what is given up."""
         self.reason = reason
         self.transport.abortConnection()
-        self.end(Outcome.RST)
+        self.end(Outcome.RST, OVERTAKE)
 
     def connectionLost(self, reason: Failure | None = None) -> None:
         """What was out may have run."""
@@ -276,8 +278,8 @@
                     event="engine-connection-ended", reason=reason, engine=self.pool.engine,
                     address="{}:{}".format(*self.pool.address))
 
-    def end(self, outcome: Outcome) -> None:
-        """The connection is gone, and with it what was open on it."""
+    def end(self, outcome: Outcome, after: float = 0.0) -> None:
+        """The connection is gone, and with it what was open on it; `after`: ms until that can be relied on."""
         self.closed = True
         self.pool.links.discard(self)
         self.pool.client.links.discard(self)
@@ -286,7 +288,12 @@
             self.idle = None
         calls, self.calls = list(self.calls.values()), {}
         for call in calls:
-            call.attempt.end(outcome if call.sent else Outcome.NOCONN)
+            if not call.sent:
+                call.attempt.end(Outcome.NOCONN)
+            elif after:
+                self.pool.client.clock.call_later(after, partial(call.attempt.end, outcome))
+            else:
+                call.attempt.end(outcome)
 
 
 class Pool:
@@ -300,6 +307,7 @@
         """Send on a connection that can take it, else on a new one."""
         ident = attempt.request.work.rid.encode()
         link = next((x for x in self.links if x.takes(ident)), None) or self._connect()
+        attempt.begun = False
         attempt.handle = call = Call(attempt, link)
         link.add(call)
 
@@ -356,7 +364,7 @@
         if isinstance(attempt.handle, Call):
             attempt.handle.link.drop(attempt.handle)
         over = attempt.request.answered or self.clock.now() >= attempt.request.deadline
-        self.clock.call_later(LAST if over else OVERTAKE, freed)
+        self.clock.call_later(0.0 if not attempt.begun else LAST if over else OVERTAKE, freed)
 
 
 def _code(reason: Failure) -> str:
--- a/decklb/net/polling.py
+++ b/decklb/net/polling.py
@@ -11,6 +11,7 @@
 
 POLL, TIMEOUT = 250.0, 400.0  # ms between an answer and the next question; that a question may go unanswered
 GROWTH, MOST = 1.5, 1000.0  # factor for each failure in a row; the longest a question waits, jitter included
+GRACE_PART = 0.25  # of the grace of a drain that a question waits at most: news that waited for a directory may be old
 JITTER = 0.2  # part of a wait that is drawn, to either side
 SPREAD = 1 << 16  # steps of what is drawn
 
@@ -18,8 +19,10 @@
 class Polling:
     """Counts failures in a row. `draw(n)` gives a whole number below n by chance."""
 
-    def __init__(self, draw: Callable[[int], int]) -> None:
+    def __init__(self, draw: Callable[[int], int], grace: float = 0.0) -> None:
+        """`grace`: ms in which the settings want news of a drain heeded; 0 where they say nothing."""
         self.draw = draw
+        self.most = min(MOST, max(TIMEOUT, GRACE_PART * grace)) if grace > 0 else MOST
         self.failures = 0  # questions in a row that no whole answer came to
 
     def answered(self) -> float:
@@ -30,7 +33,7 @@
     def asked(self) -> float:
         """A question goes out: ms until it counts as failed and another goes."""
         # Past the bound the power is not reckoned: a directory may be away for days.
-        return self._scatter(min(MOST, TIMEOUT * GROWTH ** min(self.failures, 10)))
+        return self._scatter(min(self.most, TIMEOUT * GROWTH ** min(self.failures, 10)))
 
     def failed(self) -> None:
         """The question came to nothing."""
@@ -38,4 +41,4 @@
 
     def _scatter(self, wait: float) -> float:
         part = 1.0 + JITTER * (2.0 * self.draw(SPREAD) / SPREAD - 1.0)
-        return min(MOST, wait * part)
+        return min(self.most, wait * part)
--- a/decklb/pg/engines.py
+++ b/decklb/pg/engines.py
@@ -102,6 +102,7 @@
         work = self.attempt.request.work
         assert isinstance(work, PgWork)
         self.ready, self.sent = False, True
+        self.attempt.begun = True
         traced = getattr(self.attempt, "traced", None)
         if traced is not None and self.trace:  # another manager may take it over
             traced(self.trace)
@@ -313,6 +314,7 @@
         if link is None and len(self.links) >= self.client.settings.connections:
             return attempt.end(Outcome.FULL)
         link = link or self._connect()
+        attempt.begun = False
         attempt.handle = link
         link.take(attempt)
 
--- a/decklb/rules.py
+++ b/decklb/rules.py
@@ -202,6 +202,8 @@
             x.cold_from = max(x.cold_from, self.now)
         elif e.outcome is Outcome.BAD:  # quick errors leave an engine idle, so it would draw more and more
             self._mark(x, JAM)
+            if len(r.legs) == 1:  # what no engine can use comes in floods, which must not widen the ration
+                self.taken.drop(r.arrived)
             if x.trial:
                 self._leave_out(x)
         elif e.outcome is Outcome.FULL:  # turning work away leaves it idle too
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,7 +11,9 @@
 import pytest
 from test_dispatcher import SETTINGS, Rig, Sink, TestClock
 from test_program import Client, RespEngine, request
+from twisted.internet.error import ConnectionLost
 from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
 
 from decklb import interface as api
 from decklb.core.dispatcher import HELD, Attempt, Dispatcher, Request
@@ -19,7 +21,7 @@
 from decklb.daemon.service import Service
 from decklb.interface import Effect, Outcome
 from decklb.net import frames, resp
-from decklb.net.engines import STUCK, RespEngines
+from decklb.net.engines import OVERTAKE, STUCK, RespEngines
 from decklb.net.front import ACCEPTS, LINGER, Front
 from decklb.net.front import Client as Connection
 from decklb.settings import settings_from
@@ -74,6 +76,16 @@
             self.engines.started[0].end(outcome)
             self.assertEqual(self.again(r), count, outcome)
 
+    def test_an_unsafe_request_that_waited_for_a_connection_to_its_end_is_refused_not_failed(self):
+        for begun, answer in ((False, "refused"), (True, "failed")):
+            self.setUp()
+            self.classes(Effect.UNSAFE)
+            _, sink = self.ask("load", budget=2000.0)
+            self.run_until_started(1)
+            self.engines.started[0].begun = begun
+            self.clock.go(2050)
+            self.assertEqual([a for a, _ in sink.answers], [answer])
+
     def test_a_keyed_request_goes_again_within_its_window_only(self):
         for wait, count in ((250, 2), (350, 1)):
             self.setUp()
@@ -187,9 +199,27 @@
         link, _ = self.up()
         self.clock.go(STUCK + 1)
         waits = self.start()
-        link._abort("test")
+        link.connectionLost(Failure(ConnectionLost()))
         self.assertEqual(self.ends, [(sent, Outcome.RST), (waits, Outcome.NOCONN)])
 
+    def test_what_we_break_off_ourselves_is_out_until_its_engine_knows(self):
+        """Another attempt of it elsewhere could overtake our reset."""
+        sent = self.start()
+        link, _ = self.up()
+        link.dataReceived(b"rubbish\r\n")
+        self.clock.go(OVERTAKE - 2)
+        self.assertEqual(self.ends, [])
+        self.clock.go(3)
+        self.assertEqual(self.ends, [(sent, Outcome.RST)])
+
+    def test_an_answer_to_what_was_not_sent_yet_is_nobodys(self):
+        self.start()
+        link, _ = self.up()
+        self.clock.go(STUCK + 1)
+        waits = self.start()
+        link.dataReceived(resp.pack(waits.request.work.rid.encode(), b"data", b"-", b"a\tb\tc\n"))
+        self.assertEqual(self.ends, [])
+
     def test_an_engine_that_has_shown_that_a_request_ran_cannot_take_it_back(self):
         ran = (resp.pack(b"ID", b"data", b"parts=2", b"a\tb\tc\n"),
                *[resp.pack(b"ID", b"news", b"detail=" + note, b"") for note in (b"p,value=0.2", b"s,value=40")])
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -10,7 +10,7 @@
 
 from decklb.net import dns
 from decklb.net.directory import Directory
-from decklb.net.polling import MOST, POLL
+from decklb.net.polling import MOST, POLL, TIMEOUT, Polling
 
 NEWS_BINDS = 1500.0  # ms after which news counts as told, heard or not (the platform's protocol)
 
@@ -79,6 +79,17 @@
     assert len(w.asked) == questions + 1
 
 
+def test_a_question_never_waits_longer_than_a_part_of_the_grace_in_which_drains_bind():
+    """A directory that is back after an outage may have news whose grace is nearly over."""
+    for grace in (0.0, 1000.0, 2000.0, 60_000.0):
+        polling = Polling(random.Random(1).randrange, grace)
+        waits = []
+        for _ in range(30):
+            waits.append(polling.asked())
+            polling.failed()
+        assert max(waits) <= (min(MOST, max(TIMEOUT, grace / 4)) if grace else MOST)
+
+
 @pytest.mark.parametrize(("event", "make"), [
     ("directory-answer-dropped", lambda ident: reply(ident=ident)[:-3]),
     ("directory-answer-dropped", lambda ident: reply(ident=ident, flags=0x8600)),
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -87,6 +87,17 @@
     assert again == 4
 
 
+def test_a_flood_that_engines_answer_with_errors_does_not_widen_the_ration():
+    """What no engine can use comes from bad clients, whose requests count for nothing."""
+    g = gateway(engines=4, extra_floor=2.0, extra_ratio=0.1, extra_window=5000.0)
+    flood = sent(g.step(1.0, [ask(f"f{i}") for i in range(40)]))
+    assert len(flood) == 40
+    again = sent(g.step(2.0, [end(s, Outcome.BAD) for s in flood]))
+    for now in range(10, 3000, 10):
+        again += sent(g.step(float(now), []))
+    assert len(again) == 2
+
+
 def test_a_request_keeps_to_the_zone_drawn_for_it_while_an_engine_there_is_free():
     g = gateway(engines=4)
     assert {s.engine for s in sent(g.step(1.0, [ask(str(i), zone="z2") for i in range(8)]))} == {"e2"}
