Force more crossings in tests: leaving while waiting, resets around a request, signals in a drain, a moved directory

Also what all managers together send to a cold engine, with 1, 3, 30 and 200 of them: within N + 2 x root of N + 2 in the settings' time at each moment of its warming.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,7 +11,7 @@
 import pytest
 from test_dispatcher import SETTINGS, Rig, Sink, TestClock
 from test_program import Client, RespEngine, request
-from twisted.internet.error import ConnectionLost
+from twisted.internet.error import ConnectionLost, ConnectionRefusedError
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
@@ -55,6 +55,34 @@
         self.assertEqual(self.engines.started[0].engine, "e3")
 
 
+class Leaving(Rig):
+    """A client that leaves while its request waits, wherever that is."""
+
+    def test_nothing_begins_for_who_left_while_waiting_for_a_predecessor_or_for_its_key_to_rest(self):
+        for rests in (False, True):
+            self.setUp()
+            self.ask("load", key="k")
+            waits, _ = self.ask("load", key="k")
+            self.run_until_started(1)
+            if not rests:
+                self.d.abandon(waits)
+            self.engines.started[0].end(Outcome.RST)
+            self.clock.go(20)
+            if rests:
+                self.d.abandon(waits)
+            self.clock.go(1000)
+            self.assertEqual(len(self.engines.started), 1)
+
+    def test_nothing_begins_for_who_left_while_no_engine_was_free(self):
+        self.d.members([])
+        r, _ = self.ask()
+        self.clock.go(50)
+        self.d.abandon(r)
+        self.d.members([api.Entry("e3", "z", "k", 0, api.Phase.UP)])
+        self.clock.go(1000)
+        self.assertEqual(self.engines.started, [])
+
+
 class Guards(Rig):
     """Whatever the module says."""
 
@@ -212,6 +240,26 @@
         self.clock.go(3)
         self.assertEqual(self.ends, [(sent, Outcome.RST)])
 
+    def test_a_reset_before_in_and_after_a_request(self):
+        a = self.start()
+        self.reactor.tcpClients[0][2].clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+        b = self.start()
+        self.reactor.tcpClients.pop(0)
+        self.up()[0].connectionLost(Failure(ConnectionLost()))
+        c = self.start()
+        link, _ = self.up()
+        link.dataReceived(resp.pack(c.request.work.rid.encode(), b"data", b"-", b"a\tb\tc\n"))
+        link.connectionLost(Failure(ConnectionLost()))
+        self.assertEqual(self.ends, [(a, Outcome.NOCONN), (b, Outcome.RST), (c, Outcome.GOOD)])
+
+    def test_an_answer_after_its_request_was_given_up_is_nobodys_and_its_id_is_not_used_there_again(self):
+        a = self.start()
+        link, _ = self.up()
+        self.gone(a)
+        ident = a.request.work.rid.encode()
+        link.dataReceived(resp.pack(ident, b"data", b"-", b"a\tb\tc\n") * 2)
+        self.assertEqual((self.ends, link.takes(ident), link.takes(b"0" * 16)), ([], False, True))
+
     def test_an_answer_to_what_was_not_sent_yet_is_nobodys(self):
         self.start()
         link, _ = self.up()
@@ -389,6 +437,28 @@
         program.stop()
 
 
+def test_signals_that_come_during_a_drain_change_nothing():
+    loop = Loop()
+    engine = RespEngine(loop)
+    program = Program({"known": known(engine.port)})
+    try:
+        client = Client(program.port)
+        client.send(request(1, b"hang", budget="2000"))
+        wait_for(lambda: engine.said(b"do"), "do")
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+            program.process.send_signal(number)
+            wait_for(lambda: program.logged("SIGTERM: draining"), "the drain")
+        while (frame := client.next()).type != frames.ANSWER:
+            pass
+        assert (frame.stream, frame.payload[0]) == (1, frames.REFUSED)
+        assert program.process.wait(20) == 0
+        assert sum("draining," in line for line in program.lines) == 1 and not program.logged("SIGHUP")
+    finally:
+        program.stop()
+        engine.close()
+        loop.stop()
+
+
 @pytest.mark.parametrize("newcomers", [0, 3 * ACCEPTS])
 def test_who_came_while_a_draining_process_stood_still_is_answered_not_reset(newcomers):
     """On a resting connection, or on new ones in the machine's queue when the listener closes."""
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -118,6 +118,17 @@
     assert w.lists == [["s-0"]]
 
 
+def test_a_reload_that_moves_the_directory_while_a_question_is_out_believes_the_new_one_alone():
+    w = Wire()
+    _, old = w.asked[-1]
+    w.directory.move(("127.0.0.1", 54))
+    assert len(w.asked) == 2  # at once
+    w.directory.datagramReceived(reply(ident=old), None)
+    assert w.lists == [["s-0"]]
+    w.answer()
+    assert w.lists[-1] == ["s-1"]
+
+
 def test_an_empty_list_that_is_newer_binds():
     """No engine may be sent to after it was told to be gone, however odd the list."""
     w = Wire()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -604,6 +604,27 @@
     assert 0.5 * whole < spent < 0.6 * whole
 
 
+@pytest.mark.parametrize("fronts", [1, 3, 30, 200])
+def test_all_fronts_together_keep_within_what_a_cold_engine_bears(fronts):
+    """N + 2 x root of N + 2 requests of mean work in the settings' time, N being what the settings allow it then."""
+    work, cores, span = 100.0, 8, 1000.0
+    all_of_them = [gateway(engines=1, me=i, **COLD | {"fronts": fronts}) for i in range(fronts)]
+    sends = []
+    for g in all_of_them:
+        g.usual["safe"].work = work
+        g.step(1.0, [api.Members([entry("e0", ready_at=1.0)], False)])
+    for now in range(10, 6000, 50):
+        for g in all_of_them:  # each has more than it may send, all answered at once
+            for s in sent(g.step(float(now), [ask(f"{now}.{j}", left=60000.0) for j in range(4)])):
+                sends.append(now)
+                g.step(float(now), [end(s, Outcome.GOOD, work=work)])
+            g.step(float(now), [api.Left(r) for r in list(g.requests)])
+    for start in range(10, 5000, 50):
+        n = COLD["overload_factor"] * (0.3 + 0.7 * start / COLD["cold"]) * cores * span / work
+        assert sum(start <= t < start + span for t in sends) <= n + 2 * n ** 0.5 + 2
+    assert len(sends) > 20
+
+
 def test_heavy_work_has_turns_at_a_cold_engine_where_no_fronts_part_holds_it():
     heavy = api.ClassSpec("heavy", aim=3000.0, deadline=90000.0, effect=Effect.SAFE, threads=4)
     fronts = [gateway(SAFE, heavy, engines=1, me=i, **COLD | {"fronts": 40}) for i in range(40)]
