Let the pass of reading in which an engine's connection comes up end before what waited for it begins

EngineLink.connectionMade sent what waited as soon as the handshake was done, also for a client whose leaving lay unread in the same pass; after a standstill that is an attempt for somebody long gone. It begins one pass later now; the test lets a client leave in the pass in which the connection comes up.

--- a/decklb/net/engines.py
+++ b/decklb/net/engines.py
@@ -143,12 +143,19 @@
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, False)
         self._rest()
+        # Who waited may have left, and that may lie unread: this pass of reading comes to its end first.
+        self.pool.client.clock.call_later(0.0, self._go_on)
 
-    # The transport tells each time that nothing is left to send, first when the connection is up.
+    # The transport tells each time that nothing is left to send.
 
     def resumeProducing(self) -> None:
+        """The engine reads on."""
+        if self.unsent is not None:
+            self.unsent = None
+            self._go_on()
+
+    def _go_on(self) -> None:
         """What waited for the connection, or for the engine to read on, goes out."""
-        self.unsent = None
         for call in [c for c in self.calls.values() if not c.sent]:
             self._do(call)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -182,11 +182,13 @@
         self.engines.start(a)
         return a
 
-    def up(self):
-        """The oldest connection comes up."""
+    def up(self, same_pass=lambda: None):
+        """The oldest connection comes up; what is read in the same pass."""
         factory = self.reactor.tcpClients.pop(0)[2]
         link, transport = factory.buildProtocol(None), Gate()
         link.makeConnection(transport)
+        same_pass()
+        self.clock.go(1)
         return link._wrappedProtocol, transport
 
     def gone(self, a):
@@ -194,10 +196,10 @@
         self.engines.give_up(a, lambda: None)
 
     def test_nothing_is_sent_for_who_left_while_the_connection_came_up(self):
-        a, b = self.start(), self.start()
+        a, b, c = self.start(), self.start(), self.start()
         self.gone(a)
-        _, transport = self.up()
-        self.assertEqual([p[:2] for p in transport.flush()], [[b"do", b.request.work.rid.encode()]])
+        _, transport = self.up(same_pass=lambda: self.gone(b))
+        self.assertEqual([p[:2] for p in transport.flush()], [[b"do", c.request.work.rid.encode()]])
 
     def test_what_waited_too_long_for_its_connection_never_begins(self):
         a, b = self.start(), self.start()
