--- a/decklb/rules.py
+++ b/decklb/rules.py
@@ -424,7 +424,7 @@
     def _cold(self, x: Engine, work: float) -> bool:
         """True if this work is more than a cold engine may get: each front spends its even part, alone."""
         s, age = self.s, self.now - x.cold_from
-        if age > s.cold or s.fall <= 0:
+        if age >= s.cold or s.fall <= 0:
             return False
         if not x.near:  # its budget is divided among those that use it first
             return True
