--- a/decklb/handoff/guard.py
+++ b/decklb/handoff/guard.py
@@ -78,6 +78,15 @@
     def __getattr__(self, name: str) -> Any:
         return getattr(self.attempt, name)  # request, engine, deadline and the like
 
+    @property
+    def begun(self) -> bool:
+        """Whether it has been given to a transport, which the engine client tells."""
+        return self.attempt.begun
+
+    @begun.setter
+    def begun(self, value: bool) -> None:
+        self.attempt.begun = value
+
     def traced(self, trace: bytes) -> None:
         """It has gone out on a connection by which it can be called off, also by whoever takes it over."""
         guard = self.owner.guard
@@ -89,7 +98,7 @@
         """How it ended."""
         guard = self.owner.guard
         guard.say(self.owner, f"attempt ended {outcome.value}")
-        if outcome in (End.FULL, End.NOCONN):  # it provably never ran
+        if outcome in (End.FULL, End.NOCONN, End.NOP):  # it provably never ran
             guard.keeper.bounced(guard.clock.now(), self.owner.key)
             guard.pump()
         guard.ended(self)
