Test the checker of repeats with the dispatcher's guard off, and that with it none is left to see

Since the dispatcher holds back a repeat that the class does not allow, so a policy made to break that rule no longer could, and the test that the laboratory's checker catches it failed. It takes the guard away for that, and holds in addition that with the guard nothing is broken.

--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import tempfile
 import unittest
 from dataclasses import replace
@@ -14,6 +15,7 @@
 from decklb import interface as api
 from decklb.cli import main
 from decklb.config import SettingsError
+from decklb.core.dispatcher import Dispatcher
 from decklb.interface import Outcome
 from decklb.lab import experiment, policies, statistics, theory
 from decklb.lab.checkers import RULES
@@ -267,6 +269,9 @@
     if rule == "key":
         w = replace(w, workload=replace(w.workload, classes=tuple(
             replace(c, keys=3 if c.keys else 0) for c in w.workload.classes)))
+    if rule == "repeat":  # the dispatcher holds these back, whatever the policy says; then the checker has to see them
+        assert Run(w, 1).run().get("broken_repeat", 0) == 0
+        monkeypatch.setattr(Dispatcher, "_repeatable", lambda self, r: math.inf)
     s = Run(w, 1).run()
     assert s.get(f"broken_{rule}", 0) > 0
     good = Run(replace(w, policy="random"), 1).run()
