One call for timers that read first after a standstill, in place of a stored time and two wrappers

Dispatcher kept the step's due time in a field for the lambda that compared it, and _look wrapped the same for the deadlines. Both are _call_in now, which knows its own due time. Behaviour is as it was; test_dispatcher, test_crossings and test_program: 76 passed.

--- a/decklb/core/dispatcher.py
+++ b/decklb/core/dispatcher.py
@@ -91,7 +91,6 @@
         self._pending: list[api.Event] = []
         self._closed: list[str] = []  # answered, and the module may not know yet
         self._due: Timer | None = None
-        self._due_at = 0.0
         self._last = clock.now() - settings.tick
         # (when, request, leg), leg -1 for the request itself; what has ended since is passed over when due.
         self._deadlines: list[tuple[float, str, int]] = []
@@ -167,19 +166,22 @@
     def _post(self, event: api.Event) -> None:
         self._pending.append(event)
         if self._due is None:
-            now = self.clock.now()
-            self._due_at = max(now, self._last + self.settings.tick)
-            self._due = self.clock.call_later(self._due_at - now, lambda: self._read_first(self._due_at, self._step))
+            self._due = self._call_in(max(0.0, self._last + self.settings.tick - self.clock.now()), self._step)
+
+    def _call_in(self, wait: float, call: Callable[[], None]) -> Timer:
+        """Make a call after that many ms; two passes of reading come first if we are held up until then."""
+        due = self.clock.now() + wait
+
+        def now_due() -> None:
+            if self.clock.now() - due <= HELD:
+                call()
+            else:
+                self.clock.call_later(0.0, second_pass)
 
-    def _read_first(self, due: float, call: Callable[[], None]) -> None:
-        """Make a call that was due then; two passes of reading come first if we were held up."""
         def second_pass() -> None:
             self.clock.call_later(0.0, call)
 
-        if self.clock.now() - due <= HELD:
-            call()
-        else:
-            self.clock.call_later(0.0, second_pass)
+        return self.clock.call_later(wait, now_due)
 
     def _step(self) -> None:
         self._due = None
@@ -256,11 +258,7 @@
         heappush(self._deadlines, (when, r.ident, leg))
         if not self._watching:
             self._watching = True
-            self._look(WATCH)
-
-    def _look(self, wait: float) -> None:
-        due = self.clock.now() + wait
-        self.clock.call_later(wait, lambda: self._read_first(due, self._due_now))
+            self._call_in(WATCH, self._due_now)
 
     def _due_now(self) -> None:
         now, due = self.clock.now(), self._deadlines
@@ -273,7 +271,7 @@
                 self._overdue(r)
         self._watching = bool(due)
         if due:
-            self._look(WATCH)
+            self._call_in(WATCH, self._due_now)
 
     def _give_up(self, a: Attempt, outcome: Outcome) -> None:
         if a.ended or a.given_up:
