--- a/review/rig/fleet.py
+++ b/review/rig/fleet.py
@@ -35,10 +35,11 @@
 class Fleet:
     """Settings as in deploy/handoff.xml, whose defaults for the cluster and the handoff hold."""
 
-    def __init__(self, folder: Path, record: Record, first_host: int = 11) -> None:
+    def __init__(self, folder: Path, record: Record, run: str, first_host: int = 11) -> None:
+        """`run` is the command that starts a manager."""
         from decklb.lab.faults.network_proxy import NetworkProxy
 
-        self.folder, self.record = folder, record
+        self.folder, self.record, self.run = folder, record, run
         self.engines = [PgEngine(f"motor-{i}", record) for i in (1, 2)]
         hosts = {name: f"127.0.{first_host}.{i + 1}" for i, name in enumerate(NAMES)}
         self.listen = {name: (hosts[name], free_port(hosts[name])) for name in NAMES}
@@ -70,7 +71,7 @@
                     ),
                 )
             )
-            await self.programs[name].start({"DECKLB_SETTINGS": str(path)}, os.environ["DECKLB_RUN"])
+            await self.programs[name].start({"DECKLB_SETTINGS": str(path)}, self.run)
         for name in NAMES:
             await self.programs[name].wait_for_port(*self.listen[name])
 
