--- a/review/rig/case.py
+++ b/review/rig/case.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import shutil
+import signal
 import sys
 import tempfile
 import traceback
@@ -40,6 +41,7 @@
     folder = Path(tempfile.mkdtemp(prefix="decklb-review-"))
     record = Record(os.environ.get("RECORD", "record.txt"))
     status = 2
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # so that SIGTERM ends the processes too
     try:
         held = asyncio.run(_bounded(body, record, folder))
         record.say("the rule held" if held else "the rule was broken")
--- a/review/rig/fleet.py
+++ b/review/rig/fleet.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import sys
 from pathlib import Path
 
@@ -63,7 +62,7 @@
                     bind="{}:{}".format(*self.binds[name]),
                     advertise="{}:{}".format(*self.proxy.advertised[name]),
                     keys=self.folder / "keys.json",
-                    socket=f"/tmp/decklb-review-{os.getpid()}-{name}.sock",
+                    socket=self.folder / f"{name}.sock",
                     seeds="".join("<seed>{}:{}</seed>".format(*a) for a in self.proxy.advertised.values()),
                     engines="".join(
                         f'<engine id="{e.name}" address="127.0.0.1:{e.port}" zone="sala-lima" kind="nodo-a" weight="8"/>'
@@ -81,8 +80,6 @@
         self.proxy.close()
         for engine in self.engines:
             engine.stop()
-        for name in NAMES:
-            Path(f"/tmp/decklb-review-{os.getpid()}-{name}.sock").unlink(missing_ok=True)
 
     def check(self) -> None:
         for program in self.programs.values():
