Directory: time to read a DNS answer grows linearly with its size

Cause: read_name followed a chain of any length for each name, and names had no bound of length.

Change: at most 127 pointers a name, and at most 255 bytes a name (RFC 1035, section 2.3.4), which takes the place of the bound on labels.

--- a/decklb/net/dns.py
+++ b/decklb/net/dns.py
@@ -26,7 +26,8 @@
 RESPONSE_CODE_MASK = 0x000F
 POINTER_MARK = 0xC0  # smallest first byte of a label that marks a compression pointer
 MAX_LABEL_BYTES = 63
-MAX_LABELS = 127
+MAX_NAME_BYTES = 255  # of a name without compression, with the length of each label and the final zero
+MAX_POINTERS = 127  # followed in one name: a name has at most this many labels, and a useful pointer leads to one
 
 
 class DnsError(Exception):
@@ -63,9 +64,11 @@
 def read_name(data: bytes, offset: int) -> tuple[str, int]:
     """Return the name at `offset`, possibly compressed, and the offset of its end.
 
-    Pointers may only point backwards, so there is no endless loop.
+    Pointers may only point backwards, so there is no endless loop. Their number and the length of a name are limited,
+    so that the time for a datagram is linear in its size.
     """
     labels: list[str] = []
+    name_size, pointer_count = 1, 0  # the size counts the final zero
     end = None  # end of the name in the record, set when the first pointer is followed
     pointer_limit = offset
     while True:
@@ -80,14 +83,20 @@
             if offset >= pointer_limit:
                 raise DnsError("pointer does not go back")
             pointer_limit = offset
+            pointer_count += 1
+            if pointer_count > MAX_POINTERS:
+                raise DnsError("name has too many pointers")
         elif size > MAX_LABEL_BYTES:
             raise DnsError("bad label")
         elif size == 0:
             return ".".join(labels), offset + 1 if end is None else end
         else:
             label = data[offset + 1 : offset + 1 + size]
-            if len(label) < size or len(labels) > MAX_LABELS:
+            if len(label) < size:
                 raise DnsError("bad label")
+            name_size += 1 + size
+            if name_size > MAX_NAME_BYTES:
+                raise DnsError("name is too long")
             labels.append(label.decode("latin-1").lower())
             offset += 1 + size
 
