Table group: scanning a long string or identifier takes no memory for each character

Cause: the patterns repeat a group, `(?:[^']|'')*`, one character a turn, and the engine of the patterns keeps a way back for each turn.

Change: possessive runs of plain characters.

--- a/decklb/wire/table_group.py
+++ b/decklb/wire/table_group.py
@@ -8,13 +8,14 @@
 
 import re
 
+# Possessive quantifiers (`*+`) keep no state for each character that they match.
 _TOKEN = re.compile(
     rb"""(?P<line>--[^\n]*)
        | (?P<block>/\*)
-       | (?P<escape>[eE]'(?:[^'\\]|''|\\.)*(?:'|\Z))
-       | (?P<string>'(?:[^']|'')*(?:'|\Z))
+       | (?P<escape>[eE]'[^'\\]*+(?:(?:''|\\.)[^'\\]*+)*(?:'|\\?\Z))
+       | (?P<string>'[^']*+(?:''[^']*+)*+(?:'|\Z))
        | (?P<dollar>\$(?P<tag>[A-Za-z_\x80-\xff][\w\x80-\xff]*)?\$)
-       | (?P<quoted>"(?:[^"]|"")*(?:"|\Z))
+       | (?P<quoted>"[^"]*+(?:""[^"]*+)*+(?:"|\Z))
        | (?P<word>[A-Za-z_\x80-\xff][\w$\x80-\xff]*)
        | (?P<number>[0-9][\w.]*)
        | (?P<dot>\.)
@@ -28,14 +29,14 @@
 _SCHEMA = re.compile(
     rb"""--[^\n]*
        | (?P<block>/\*)
-       | (?<!%b)[eE]'(?:[^'\\]|''|\\.)*(?:'|\Z)
-       | '(?:[^']|'')*(?:'|\Z)
+       | (?<!%b)[eE]'[^'\\]*+(?:(?:''|\\.)[^'\\]*+)*(?:'|\\?\Z)
+       | '[^']*+(?:''[^']*+)*+(?:'|\Z)
        | (?<!%b)(?P<dollar>\$(?:[A-Za-z_\x80-\xff][\w\x80-\xff]*)?\$)
        | (?:(?<!%b)(?P<before>from|join|into|update|table|using|only|truncate|merge)\s+)?
          (?:(?<!%b)(?P<name>[A-Za-z_\x80-\xff]%b*_(?P<group>[0-9]{1,9}))
-            | "(?P<quoted>(?:[^"]|"")*)")
+            | "(?P<quoted>[^"]*+(?:""[^"]*+)*+)")
          \s*\.\s*(?=["A-Za-z_\x80-\xff])
-       | "(?:[^"]|"")*(?:"|\Z)"""
+       | "[^"]*+(?:""[^"]*+)*+(?:"|\Z)"""
     % ((_WORD_BYTE,) * 5),
     re.VERBOSE | re.DOTALL | re.IGNORECASE,
 )
--- a/tests/test_table_group.py
+++ b/tests/test_table_group.py
@@ -1,8 +1,19 @@
 """The scanner that finds the table group of a statement."""
 
+import tracemalloc
 import unittest
 
-from decklb.wire.table_group import table_group
+from decklb.wire.table_group import table_group, tokenize
+
+
+def memory_used_by(function, text):
+    """Return the largest number of bytes that a call had allocated at a time."""
+    function(text)  # what the first call leaves behind is not counted
+    tracemalloc.start()
+    function(text)
+    peak = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    return peak
 
 
 class TableGroup(unittest.TestCase):
@@ -48,6 +59,14 @@
         for text in (b"\xff\xfe\0", b"\xc3", b"select '\xff' from a_2.b", b"$" * 999, b"'" * 999, b"/*" * 999):
             self.assertIn(table_group(text), (0, 2))
 
+    # Guards against the class of incident 2: patterns that keep a way back for each character of a client's text.
+    def test_scanning_a_long_constant_takes_no_more_memory_than_a_few_copies_of_it(self):
+        size = 100_000
+        constants = (size * b"'", b"'" + size * b"a" + b"'", b"e'" + size * b"a" + b"'", b'from "' + size * b'"' + b'".a')
+        for constant in constants:
+            for function in (table_group, tokenize):
+                self.assertLess(memory_used_by(function, constant), 4 * size, (function, constant[:10]))
+
 
 if __name__ == "__main__":
     unittest.main()
