--- a/tests/test_table_group.py
+++ b/tests/test_table_group.py
@@ -62,7 +62,12 @@
     # Guards against the class of incident 2: patterns that keep a way back for each character of a client's text.
     def test_scanning_a_long_constant_takes_no_more_memory_than_a_few_copies_of_it(self):
         size = 100_000
-        constants = (size * b"'", b"'" + size * b"a" + b"'", b"e'" + size * b"a" + b"'", b'from "' + size * b'"' + b'".a')
+        constants = (
+            size * b"'",
+            b"'" + size * b"a" + b"'",
+            b"e'" + size * b"a" + b"'",
+            b'from "' + size * b'"' + b'".a',
+        )
         for constant in constants:
             for function in (table_group, tokenize):
                 self.assertLess(memory_used_by(function, constant), 4 * size, (function, constant[:10]))
