--- a/decklb/net/engine_connection.py
+++ b/decklb/net/engine_connection.py
@@ -24,13 +24,11 @@
 
 MAX_ABANDONED_IDS = 500  # abandoned request ids above which a connection accepts no more attempts
 # Delay before another attempt of a request may start after a cancellation: the engine ends the attempt only when the
-# `undo` arrives, which an attempt on another connection could overtake. 5 ms were too short once in about 10,000
-# requests (bd00dba5), 25 ms once in 65,000 at 1,000 requests a second on an overloaded machine (88e438e8).
+# `undo` arrives, which an attempt on another connection could overtake.
 CANCEL_SETTLE_MS = 40.0
-# Number of sweeps without progress after which an incomplete reply or a missing page ends the connection, well before
-# the deadline of the request: nothing behind it on the connection would arrive either. Counted in sweeps (6 sweeps of
-# 100 ms) so that a stall of this process does not count. In measurements complete replies arrived within 5 ms of their
-# first byte and pages within 20 ms (0656a3b9).
+# Sweeps (every 100 ms) without progress after which an incomplete reply or a missing page ends the connection, well
+# before the deadline of the request: nothing behind it on the connection would arrive either. Counted in sweeps so that
+# a stall of this process does not count.
 MAX_STALLED_SWEEPS = 6
 WRITE_BLOCKED_LIMIT_MS = 20.0  # time for which bytes may stay unsent before further requests are held back
 
--- a/decklb/wire/table_group.py
+++ b/decklb/wire/table_group.py
@@ -24,8 +24,7 @@
 )
 _COMMENT_EDGE = re.compile(rb"/\*|\*/")
 _WORD_BYTE = rb"[\w$\x80-\xff]"
-# Matches only schema names, and strings and comments, in which text may look like a schema name: splitting whole
-# statements into tokens took two fifths of a core under load.
+# Matches only schema names, and the strings and comments in which text may look like one: it runs for every request.
 _SCHEMA = re.compile(
     rb"""--[^\n]*
        | (?P<block>/\*)
