Fault runs of the handoff: a module each for processes, fleet, client and the cost of a key

Change: moves only; the syntax tree of every class, function and constant is equal to the one before. Imports of its users follow.

--- a/decklb/cli/lab/fault_runs.py
+++ b/decklb/cli/lab/fault_runs.py
@@ -54,19 +54,19 @@
     as_json: bool,
 ) -> None:
     """Managers as processes that take over one another's work, under faults by seed; loopback only, ends by itself."""
-    from decklb.lab.fault_runs import handoff_run
+    from decklb.lab.fault_runs import handoff_fleet, handoff_run
     from decklb.lab.faults.fault_schedule import FleetFaultKind
 
     log.set_up("ERROR", "text")
-    setup = handoff_run.Setup(
+    setup = handoff_fleet.Setup(
         managers,
         count,
         rate,
         1000.0 * seconds,
         strikes,
-        kinds=tuple(FleetFaultKind(name) for name in only) or handoff_run.DEFAULT_KINDS,
+        kinds=tuple(FleetFaultKind(name) for name in only) or handoff_fleet.DEFAULT_KINDS,
         data=data,
-        work=work or handoff_run.DEFAULT_WORK_MS,
+        work=work or handoff_fleet.DEFAULT_WORK_MS,
     )
     output = _HandoffOutput(as_json)
     seeds = list(range(seed, seed + runs))
@@ -85,10 +85,10 @@
     """What protecting a statement costs: time to its answer with a key and without, between real processes."""
     import asyncio
 
-    from decklb.lab.fault_runs import handoff_run
+    from decklb.lab.fault_runs import handoff_fleet, key_cost
 
     log.set_up("ERROR", "text")
-    figures_by_kind = asyncio.run(handoff_run.measure_key_cost(handoff_run.Setup(managers), requests, at_once, seed))
+    figures_by_kind = asyncio.run(key_cost.measure_key_cost(handoff_fleet.Setup(managers), requests, at_once, seed))
     for kind, figures in figures_by_kind.items():
         text = "  ".join(f"{name} {value}" for name, value in figures.items())
         click.echo(f"{kind if kind == 'memory' else kind + ' a key':13}: {text}")
--- a/decklb/lab/fault_runs/maintenance_run.py
+++ b/decklb/lab/fault_runs/maintenance_run.py
@@ -22,7 +22,7 @@
 from typing import Any
 
 from decklb.lab.checks.zone_verdict import CallRecord
-from decklb.lab.fault_runs.handoff_run import Process
+from decklb.lab.fault_runs.fleet_process import Process
 from decklb.lab.fault_runs.isolation import run_side_by_side
 from decklb.lab.fault_runs.zone_run import REGION_BY_ZONE, ZoneClients, ZoneFleet
 from decklb.lab.faults.network_proxy import MAX_LATE_MS
--- a/decklb/lab/fault_runs/zone_run.py
+++ b/decklb/lab/fault_runs/zone_run.py
@@ -21,7 +21,8 @@
 import ujson
 
 from decklb.lab.checks.zone_verdict import CallRecord, ZoneFault, ZoneStateChange, ZoneVerdict, judge
-from decklb.lab.fault_runs.handoff_run import Fleet, Process, Setup
+from decklb.lab.fault_runs.fleet_process import Process
+from decklb.lab.fault_runs.handoff_fleet import Fleet, Setup
 from decklb.lab.fault_runs.isolation import run_side_by_side
 from decklb.lab.faults.fault_schedule import CLEAN, CUT, LinkConditions
 from decklb.lab.faults.network_proxy import MAX_LATE_MS
--- a/tests/handoff_clients.py
+++ b/tests/handoff_clients.py
@@ -6,7 +6,7 @@
 
 import psycopg
 
-from decklb.lab.fault_runs.handoff_run import RETRYABLE_SQLSTATES
+from decklb.lab.fault_runs.retrying_client import RETRYABLE_SQLSTATES
 
 
 class Session:
--- a/tests/test_cli_fault_runs_wire_format.py
+++ b/tests/test_cli_fault_runs_wire_format.py
@@ -10,7 +10,7 @@
 from decklb.cli import main
 from decklb.lab.checks.execution_verdict import Verdict
 from decklb.lab.checks.zone_verdict import ZoneVerdict
-from decklb.lab.fault_runs import handoff_run, maintenance_run, zone_run
+from decklb.lab.fault_runs import handoff_run, key_cost, maintenance_run, zone_run
 from decklb.lab.faults.fault_schedule import FleetFault, FleetFaultKind
 from tests.standins import ROOT
 
@@ -83,7 +83,7 @@
     """Run a command and return its exit status, the arguments of its campaign and the printed lines."""
     campaigns = Campaigns()
     monkeypatch.setattr(handoff_run, "campaign", campaigns.handoff)
-    monkeypatch.setattr(handoff_run, "measure_key_cost", campaigns.handoff_cost)
+    monkeypatch.setattr(key_cost, "measure_key_cost", campaigns.handoff_cost)
     monkeypatch.setattr(zone_run, "campaign", campaigns.zones)
     monkeypatch.setattr(maintenance_run, "campaign", campaigns.maintenance)
     result = CliRunner().invoke(main, ["lab", *command.split()])
--- a/tests/test_handoff_program.py
+++ b/tests/test_handoff_program.py
@@ -9,7 +9,8 @@
 
 import psycopg
 
-from decklb.lab.fault_runs.handoff_run import Fleet, Setup, campaign
+from decklb.lab.fault_runs.handoff_fleet import Fleet, Setup
+from decklb.lab.fault_runs.handoff_run import campaign
 from decklb.lab.faults.fault_schedule import FleetFault, FleetFaultKind, LinkConditions
 from decklb.management.control_client import query
 from tests.handoff_clients import Session, final_answer
--- a/tests/test_handoff_restarts.py
+++ b/tests/test_handoff_restarts.py
@@ -7,7 +7,7 @@
 import unittest
 
 from decklb.lab.checks.execution_verdict import judge
-from decklb.lab.fault_runs.handoff_run import Fleet, Setup
+from decklb.lab.fault_runs.handoff_fleet import Fleet, Setup
 from tests.handoff_clients import Session, final_answer
 
 
