PostgreSQL: a session with a cancel request on its way takes no other statement

Cause: a CancelRequest names a session. The session counted as free at its ReadyForQuery, while the request could still be dialing, under way or unread; it ended what ran there when it was read.

Change: the session stays out of use, and counts at its engine, until the request's connection has ended. One that is not established when the statement ends is not sent.

--- a/decklb/pg/engine_connection.py
+++ b/decklb/pg/engine_connection.py
@@ -1,11 +1,13 @@
 """One session at a PostgreSQL engine, which runs one attempt at a time.
 
 An attempt, even a cancelled one, is in flight until the engine sends ReadyForQuery or the connection is lost. Until
-then the connection sends no other statement, and the core is not notified that the attempt has ended. Dialing,
-idle timeouts and the log line at the end are those of `wire.engine_connection`.
+then the connection sends no other statement, and the core is not notified that the attempt has ended. A session for
+which a CancelRequest is on its way takes no other attempt, because the request would end it: it is used again once the
+engine has read the request, and closed if that remains unknown. Dialing, idle timeouts and the log line at the end are
+those of `wire.engine_connection`.
 
-State: the attempt that runs on the connection, waits for it or has reserved it, and the result received so far. Owned
-by a pool of `pg.engines`.
+State: the attempt that runs on the connection, waits for it or has reserved it, its CancelRequest, and the result
+received so far. Owned by a pool of `pg.engines`.
 """
 
 from __future__ import annotations
@@ -18,7 +20,7 @@
 from decklb.interface import Outcome
 from decklb.pg import messages as pg
 from decklb.pg import sqlstate
-from decklb.pg.cancel_request import CANCEL_TIMEOUT_MS
+from decklb.pg.cancel_request import CANCEL_TIMEOUT_MS, CancelEnd, CancelRequest
 from decklb.pg.engine_prepared_statements import EnginePreparedStatements
 from decklb.pg.errors import PgError
 from decklb.pg.messages import BackendKey, BackendType, FrontendType
@@ -61,6 +63,7 @@
         self.reserved = False  # reserved for the attempt, which may not be sent yet
         self.attempt: Attempt | None = None  # notified when the statement ends
         self._on_released: Callable[[], None] | None = None  # called instead of the attempt after its cancellation
+        self._cancel_request: CancelRequest | None = None  # on its way to the engine
         self._backend_key = NO_BACKEND_KEY
         self._statements = EnginePreparedStatements()
         self._result = list[bytes]()  # messages to forward to the client
@@ -73,7 +76,7 @@
     @property
     def available(self) -> bool:
         """Whether the connection can take an attempt."""
-        return not (self.attempt or self._on_released or self.closed)
+        return not (self.attempt or self._on_released or self._cancel_request or self.closed)
 
     @property
     def cancel_key(self) -> bytes:
@@ -107,13 +110,23 @@
             self.pool.client.clock.call_later(0, on_released)
             return
         self.attempt, self._on_released = None, on_released
-        self.pool.cancel(self._backend_key)
         self._timer = self.pool.client.clock.call_later(CANCEL_TIMEOUT_MS, self._cancel_timed_out)
+        self._cancel_request = self.pool.cancel(self._backend_key, self._cancel_request_ended)
 
     def _cancel_timed_out(self) -> None:
         self._timer = None
         self._abort("cancel-timeout")
 
+    def _cancel_request_ended(self, end: CancelEnd) -> None:
+        """Use the session again if the statement has ended too; a request that may still be read would end the next."""
+        self._cancel_request = None
+        if self.closed:
+            return
+        if end is CancelEnd.UNKNOWN:
+            self._abort("cancel-uncertain")
+        elif self._on_released is None:
+            self._schedule_idle_close()
+
     def _send(self) -> None:
         assert self.attempt is not None
         pg_request = self.attempt.request.incoming
@@ -182,7 +195,10 @@
             return
         attempt, on_released = self.attempt, self._on_released
         self.attempt, self._on_released, self.sent = None, None, False
-        self._schedule_idle_close()
+        if self._cancel_request is not None:
+            self._cancel_request.withdraw()
+        if self._cancel_request is None or self.pool.retired:
+            self._schedule_idle_close()
         if on_released is not None:
             on_released()
         elif attempt is not None:
--- a/decklb/pg/engines.py
+++ b/decklb/pg/engines.py
@@ -9,18 +9,13 @@
 from collections.abc import Callable
 from typing import Any
 
-from loguru import logger
-from twisted.python.failure import Failure
-
 from decklb.core.attempts import Attempt
 from decklb.core.ports import Clock
 from decklb.interface import Outcome
-from decklb.pg.cancel_request import CancelRequestConnection
+from decklb.pg.cancel_request import CancelEnd, CancelRequest
 from decklb.pg.engine_connection import BACKEND_KEY_FORMAT, PgConnection
 from decklb.pg.messages import BackendKey
 from decklb.pg.settings import PgSettings
-from decklb.wire.connection_end import end_reason
-from decklb.wire.dialing import Dial
 from decklb.wire.engine_pool import EnginePool, PooledEngines
 
 CONNECT_TIMEOUT_MS = 1000.0  # for establishing a connection
@@ -61,25 +56,11 @@
                 return connection.cancel_key
         return b""
 
-    def cancel(self, key: BackendKey, on_done: Callable[[], None] | None = None) -> None:
-        """Send a CancelRequest for the session with this key.
-
-        `on_done` is called once: when the engine has read the request, or when sending it has failed or timed out.
-        """
-
-        def undelivered(reason: Failure) -> None:
-            logger.info(
-                "cancel request did not reach {engine}: {reason}",
-                event="cancel-request-undelivered",
-                engine=self.engine,
-                reason=end_reason(reason),
-            )
-            if on_done is not None:
-                on_done()
-
-        client = self.client
-        request = CancelRequestConnection(key, client.clock, on_done)
-        Dial(client.reactor, client.clock, self.address, request, client.connect_timeout_ms, undelivered)
+    def cancel(self, key: BackendKey, on_end: Callable[[CancelEnd], None]) -> CancelRequest:
+        """Send a CancelRequest for the session with this key; `on_end` is called once, when it has ended."""
+        request = CancelRequest(self.engine, key, self.client.clock, on_end)
+        request.send(self.client.reactor, self.address, self.client.connect_timeout_ms)
+        return request
 
     def retire(self) -> None:
         """The engine was removed or has moved: close the connections."""
@@ -122,7 +103,7 @@
         if pool is None or len(cancel_token) != BACKEND_KEY_FORMAT.size:
             self.clock.call_later(0, done)
         else:
-            pool.cancel(BackendKey(*BACKEND_KEY_FORMAT.unpack(cancel_token)), done)
+            pool.cancel(BackendKey(*BACKEND_KEY_FORMAT.unpack(cancel_token)), lambda _end: done())
 
     def abandon(self, attempt: Attempt, on_released: Callable[[], None]) -> None:
         """Cancel an attempt at its engine; `on_released` is called once it is no longer in flight."""
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -183,6 +183,8 @@
         self.loop, self.cancel_events, self.count = loop, {}, 0  # events by cancellation key; count of connections
         self.log = []  # (what, statement, time), where what is "parse", "start" or "end"
         self.cancels = 0  # number of cancel requests
+        self.cancels_read = threading.Event()  # while it is not set, cancel requests lie unread
+        self.cancels_read.set()
         self.server = loop.run(asyncio.start_server(self._serve, "127.0.0.1", 0))
         self.port = self.server.sockets[0].getsockname()[1]
 
@@ -202,6 +204,7 @@
             body = await reader.readexactly(size - 8)
             if code == 80877102:  # CancelRequest
                 self.cancels += 1
+                await asyncio.to_thread(self.cancels_read.wait, DEADLINE)
                 event = self.cancel_events.get(body)
                 return event.set() if event else None
             self.count += 1
