PostgreSQL: a cancellation that no client asked for is no answer to its statement

Cause: an error of class 57 counted as an engine's failure only as 57Pxx. A 57014 or 57000 that neither the client nor this manager had asked for was passed on as the complete answer: reads were not retried, and the client was told of a cancellation that nobody had requested.

Change: all of class 57. The end of a statement that this manager cancels is not looked at, as before.

--- a/decklb/pg/engine_connection.py
+++ b/decklb/pg/engine_connection.py
@@ -32,8 +32,9 @@
 
 IDLE_TIMEOUT_MS = 60_000.0  # an unused connection closes after this time
 MESSAGE_OVERHEAD = 1 << 20  # bytes by which one message may exceed the largest result
-# SQLSTATE classes of errors of the engine, not of the statement: another engine may succeed.
-ENGINE_ERROR_CLASSES = ("53", "57P", "58", "XX", "08")
+# SQLSTATE classes of errors of the engine, not of the statement: another engine may succeed. Class 57 includes a
+# cancellation that this manager did not ask for; the end of one that it asked for is not looked at.
+ENGINE_ERROR_CLASSES = ("53", "57", "58", "XX", "08")
 NO_BACKEND_KEY = BackendKey(0, 0)
 BACKEND_KEY_FORMAT = struct.Struct(">II")  # process id and secret key
 TRANSACTION_IDLE = b"I"  # status in ReadyForQuery: not in a transaction block
--- a/tests/test_pg_queries.py
+++ b/tests/test_pg_queries.py
@@ -101,6 +101,18 @@
     assert len([sql for sql in pg_program.statements("start") if sql.startswith("fail")]) == 1
 
 
+@pytest.mark.parametrize("code", [sqlstate.QUERY_CANCELED, "57000", "57P05"])
+def test_a_cancellation_that_no_client_asked_for_is_a_failure_of_the_engine(pg_program, code):
+    with pg_program.connect() as client, pytest.raises(psycopg.Error) as caught:
+        client.execute(f"fail {code}")
+    assert caught.value.sqlstate in (sqlstate.INSUFFICIENT_RESOURCES, sqlstate.STATEMENT_COMPLETION_UNKNOWN)
+    assert len(pg_program.statements("start")) > 1  # a read is retried
+    with pg_program.connect(options="-c decklb.class=load") as client, pytest.raises(psycopg.Error) as caught:
+        client.execute(f"fail {code} once")
+    assert caught.value.sqlstate == sqlstate.STATEMENT_COMPLETION_UNKNOWN
+    assert pg_program.statements("start").count(f"fail {code} once") == 1
+
+
 def test_rejections_state_when_to_retry(pg_program):
     for engine in pg_program.engines:
         engine.close()
