Statements: a carriage return ends a line comment, as it does at the engines

Cause: the scanners let a line comment end at a newline only. PostgreSQL's lexer ends it at a carriage return too, so a statement behind '-- text<CR>' was taken for a part of the comment, answered as an empty query and never sent. Change: both scanners.

--- a/decklb/wire/table_group.py
+++ b/decklb/wire/table_group.py
@@ -10,7 +10,7 @@
 
 # Possessive quantifiers (`*+`) keep no state for each character that they match.
 _TOKEN = re.compile(
-    rb"""(?P<line>--[^\n]*)
+    rb"""(?P<line>--[^\n\r]*+)
        | (?P<block>/\*)
        | (?P<escape>[eE]'[^'\\]*+(?:(?:''|\\.)[^'\\]*+)*(?:'|\\?\Z))
        | (?P<string>'[^']*+(?:''[^']*+)*+(?:'|\Z))
@@ -26,7 +26,7 @@
 _WORD_BYTE = rb"[\w$\x80-\xff]"
 # Matches only schema names, and the strings and comments in which text may look like one: it runs for every request.
 _SCHEMA = re.compile(
-    rb"""--[^\n]*
+    rb"""--[^\n\r]*+
        | (?P<block>/\*)
        | (?<!%b)[eE]'[^'\\]*+(?:(?:''|\\.)[^'\\]*+)*(?:'|\\?\Z)
        | '[^']*+(?:''[^']*+)*+(?:'|\Z)
--- a/tests/test_pg_statements.py
+++ b/tests/test_pg_statements.py
@@ -28,6 +28,7 @@
         ("INSERT into a values(1)", None, True),
         ("select 1; update a set b = 1", None, True),
         ("select $$ begin; insert $$", None, False),
+        ("-- a comment\rinsert into a values (1)", None, True),  # a carriage return ends it too
     ],
 )
 def test_statements_are_classified_by_their_words_outside_comments_and_strings(sql, local, writes):
--- a/tests/test_table_group.py
+++ b/tests/test_table_group.py
@@ -29,6 +29,7 @@
             (r"select E'\' x_9.y' from a_2.b", 2),
             ("select type'x_9.y' from a_2.b", 2),
             ("-- x_9.y\nselect 1 from a_2.b", 2),
+            ("-- x_9.y\rselect 1 from a_2.b", 2),
             ("/* x_9.y /* z_8.y */ w_7.y */ select 1 from a_2.b", 2),
             ("/* x_9.y", 0),
             ("select $$ x_9.y $$ from a_2.b", 2),
