PostgreSQL: a SET of a reported parameter is confirmed only if all of its value holds

Cause: only the first part of a list was compared, so SET datestyle = 'ISO, DMY' was confirmed and had no effect, and 'MDY' was refused though it holds. Change: every part must be one of the reported value's. Measured: called directly, the old comparison accepts 'ISO, DMY' and the new one does not; the new test failed before (at 'MDY', which comes first); the tests of queries and recorded bytes pass.

--- a/decklb/pg/parameters.py
+++ b/decklb/pg/parameters.py
@@ -90,6 +90,10 @@
 
 
 def _is_reported_value(name: str, value: str) -> bool:
-    """Whether this is the value that is reported anyway; only the first part of a list ("ISO, MDY") is compared."""
-    reported = {key.lower(): reported_value.lower() for key, reported_value in REPORTED_PARAMETERS.items()}
-    return reported.get(name, "").split(",")[0] == value.lower().replace("utf-8", "utf8").split(",")[0]
+    """Whether this is the value that is reported anyway. Of a list such as "ISO, MDY" any parts may be given."""
+    reported = {key.lower(): reported_value for key, reported_value in REPORTED_PARAMETERS.items()}
+    return name in reported and _list_items(value) <= _list_items(reported[name])
+
+
+def _list_items(value: str) -> set[str]:
+    return {item.strip().lower().replace("utf-8", "utf8") for item in value.split(",")}
--- a/tests/test_pg_queries.py
+++ b/tests/test_pg_queries.py
@@ -123,6 +123,15 @@
     assert re.search(r"Come back in \d+ ms", caught.value.diag.message_hint)
 
 
+def test_a_value_of_datestyle_is_confirmed_only_if_all_of_it_has_effect(pg_program):
+    with pg_program.connect() as client:
+        for value in ("ISO", "iso, mdy", "MDY"):
+            client.execute(f"set datestyle = '{value}'")
+        for value in ("ISO, DMY", "ISO, MDY, DMY", "German", ""):
+            with pytest.raises(psycopg.errors.FeatureNotSupported):
+                client.execute(f"set datestyle = '{value}'")
+
+
 # Guards against incident 2: a SET that can't be read took minutes, in which no other client was answered.
 def test_a_long_set_that_is_rejected_does_not_delay_other_clients(pg_program):
     sender, other = pg_program.scripted_client(), pg_program.scripted_client()
