PostgreSQL: refuse functions and temporary objects that stay behind in a shared session

Cause: select set_config(...), setseed, advisory locks of a session and CREATE TEMPORARY were sent on. What they leave in the engine's session is there for the next client whose statement runs in it, and not for the client that asked. Change: 0A000, as for LISTEN and the like. Columns and tables may still have these names. Functions and DO blocks that do the same inside can't be told from the text.

--- a/decklb/pg/statements.py
+++ b/decklb/pg/statements.py
@@ -9,6 +9,7 @@
 import re
 from dataclasses import dataclass
 from enum import Enum, auto
+from itertools import pairwise
 
 from decklb.pg import sqlstate
 from decklb.pg.errors import PgError
@@ -35,6 +36,19 @@
     )
 )
 PARAMETER_COMMANDS = frozenset((b"set", b"reset", b"discard", b"deallocate"))
+# Functions that leave something behind in the engine's session: a parameter, the seed of random(), a lock.
+SESSION_STATE_FUNCTIONS = frozenset(
+    (
+        b"set_config",
+        b"setseed",
+        b"pg_advisory_lock",
+        b"pg_advisory_lock_shared",
+        b"pg_try_advisory_lock",
+        b"pg_try_advisory_lock_shared",
+    )
+)
+TEMPORARY = frozenset((b"temp", b"temporary"))
+CREATE_MODIFIERS = frozenset((b"or", b"replace", b"global", b"local"))  # between CREATE and TEMPORARY
 # A statement writes if it contains one of these anywhere, as in WITH ... DELETE.
 WRITE_KEYWORDS = frozenset(
     (
@@ -96,30 +110,50 @@
 
 def classify(sql: str) -> Classification:
     """Classify a text of one or more statements. Raises PgError for statements that need one engine's session."""
-    first_words, writes = _scan(sql)
+    tokens = tokenize(sql.encode())
+    first_words = _first_words(tokens)
     if not first_words:
         return Classification(local=LocalCommand.EMPTY)
     for word in first_words:
         _reject_unsupported(word)
+    words = {word for kind, word in tokens if kind == b"name"}
+    if not SESSION_STATE_FUNCTIONS.isdisjoint(words):
+        _reject_session_functions(tokens)
+    if not TEMPORARY.isdisjoint(words):
+        _reject_temporary_objects(tokens)
     if (len(first_words) == 1 and first_words[0] in PARAMETER_COMMANDS) or _SHOW.match(sql):
         return _classify_local(sql, first_words[0])
     if not PARAMETER_COMMANDS.isdisjoint(first_words):
         raise PgError(sqlstate.FEATURE_NOT_SUPPORTED, "SET and its like can't stand among other statements")
-    return Classification(writes=writes)
+    return Classification(writes=not WRITE_KEYWORDS.isdisjoint(words))
 
 
-def _scan(sql: str) -> tuple[list[bytes], bool]:
-    """Return the first word of each statement (b"" if it starts with something else) and whether any of them writes."""
+def _first_words(tokens: list[tuple[bytes, bytes]]) -> list[bytes]:
+    """Return the first word of each statement; b"" if it starts with something else."""
     first_words: list[bytes] = []
-    writes, at_start = False, True
-    for kind, word in tokenize(sql.encode()):
+    at_start = True
+    for kind, word in tokens:
         if kind == b"sign" and word == b";":
             at_start = True
         elif at_start:
             first_words.append(word if kind == b"name" else b"")
             at_start = False
-        writes = writes or (kind == b"name" and word in WRITE_KEYWORDS)
-    return first_words, writes
+    return first_words
+
+
+def _reject_session_functions(tokens: list[tuple[bytes, bytes]]) -> None:
+    for (_, word), following in pairwise(tokens):
+        if word in SESSION_STATE_FUNCTIONS and following == (b"sign", b"("):
+            raise _needs_own_session(f"{word.decode()}()")
+
+
+def _reject_temporary_objects(tokens: list[tuple[bytes, bytes]]) -> None:
+    """Reject CREATE TEMPORARY; `temp` is no reserved word, so it may also be the name of a table."""
+    after_create = False
+    for kind, word in tokens:
+        if after_create and kind == b"name" and word in TEMPORARY:
+            raise _needs_own_session("a temporary object")
+        after_create = kind == b"name" and (word == b"create" or (after_create and word in CREATE_MODIFIERS))
 
 
 def _reject_unsupported(first_word: bytes) -> None:
@@ -132,11 +166,11 @@
     if first_word == b"copy":
         raise PgError(sqlstate.FEATURE_NOT_SUPPORTED, "COPY is not supported", "Use INSERT or SELECT.")
     if first_word in SESSION_STATE_COMMANDS:
-        raise PgError(
-            sqlstate.FEATURE_NOT_SUPPORTED,
-            f"{first_word.decode().upper()} needs a session of its own on an engine",
-            "Use the protocol's own prepared statements.",
-        )
+        raise _needs_own_session(first_word.decode().upper(), "Use the protocol's own prepared statements.")
+
+
+def _needs_own_session(what: str, hint: str = "Engines' sessions are shared between clients.") -> PgError:
+    return PgError(sqlstate.FEATURE_NOT_SUPPORTED, f"{what} needs a session of its own on an engine", hint)
 
 
 def _classify_local(sql: str, first_word: bytes) -> Classification:
--- a/tests/test_pg_statements.py
+++ b/tests/test_pg_statements.py
@@ -28,6 +28,10 @@
         ("INSERT into a values(1)", None, True),
         ("select 1; update a set b = 1", None, True),
         ("select $$ begin; insert $$", None, False),
+        ("select set_config from temp", None, False),  # columns and tables may have these names
+        ("insert into temp values ('set_config(')", None, True),
+        ("create table a (temp int)", None, True),
+        ("select pg_advisory_xact_lock(1)", None, False),  # ends with its statement
         ("-- a comment\rinsert into a values (1)", None, True),  # a carriage return ends it too
     ],
 )
@@ -50,6 +54,23 @@
         "set local x = 1",
         "prepare p as select 1",
         "lock table a",
+        "select set_config('search_path', 'x', false)",
+        "select a, PG_CATALOG.SET_CONFIG ('x', 'y', true) from t",
+        'select "set_config"(a, b, false)',
+        "select setseed(0.5)",
+        "select pg_advisory_lock(1)",
+        "select pg_advisory_lock_shared(1)",
+        "select pg_try_advisory_lock(1, 2)",
+        "select pg_try_advisory_lock_shared(1)",
+        "create temp table a (b int)",
+        "create local temporary table a as select 1",
+        "create or replace temp view a as select 1",
+        "select 1; create temporary sequence a",
+        "set role a",
+        "set time zone 'UTC'",
+        "set names 'UTF8'",
+        "set session characteristics as transaction read only",
+        "set transaction read only",
     ],
 )
 def test_statements_that_need_an_engines_session_are_not_supported(sql):
