PostgreSQL: RESET, DISCARD and DEALLOCATE do what they confirm

Cause: RESET was confirmed without effect, so a session kept its class, tenant and key. DISCARD PLANS and DEALLOCATE name forgot every prepared statement of the client, and DEALLOCATE of an unknown name was confirmed. Change: RESET restores what the session started with, for one parameter or all; DISCARD ALL too, with the prepared statements; DEALLOCATE forgets the one that it names. Forms that are not understood are refused.

--- a/decklb/pg/parameters.py
+++ b/decklb/pg/parameters.py
@@ -30,9 +30,19 @@
 IGNORED_PARAMETERS = ("application_name", "extra_float_digits")  # set by drivers; without effect on results
 MAX_BUDGET_MS = 3_600_000.0  # an hour; longer budgets are reduced to this
 MAX_KEY_LENGTH = 200  # characters of an ordering key or idempotency key
+ALL = "all"  # in RESET, DISCARD and DEALLOCATE
 _DURATION = re.compile(r"(\d{1,9})\s*(ms|s|min)?")
 _MS_PER_UNIT = {None: 1.0, "ms": 1.0, "s": 1000.0, "min": 60_000.0}
 
+_FIELDS = {  # of SessionParameters, by the name of the parameter
+    PARAMETER_PREFIX + "tenant": "tenant",
+    PARAMETER_PREFIX + "class": "request_class",
+    PARAMETER_PREFIX + "budget": "budget_ms",
+    STATEMENT_TIMEOUT: "budget_ms",
+    PARAMETER_PREFIX + "key": "ordering_key",
+    IDEMPOTENCY_KEY_PARAMETER: "idempotency_key",
+}
+
 
 @dataclass(frozen=True, slots=True)
 class SessionParameters:
@@ -75,6 +85,20 @@
             "Engines are shared: only decklb.*, statement_timeout and a few harmless ones can be set.",
         )
 
+    def reset(self, name: str, initial: SessionParameters) -> SessionParameters:
+        """Return a copy with one parameter as in `initial`, or with all of them for ALL. Raises PgError.
+
+        Without effect for other parameters of PostgreSQL, since they can't be changed here.
+        """
+        if name == ALL:
+            return initial
+        if name in _FIELDS:
+            field = _FIELDS[name]
+            return replace(self, **{field: getattr(initial, field)})
+        if name.startswith(PARAMETER_PREFIX):
+            raise PgError(sqlstate.UNDEFINED_OBJECT, f"unrecognized configuration parameter {name!r}")
+        return self
+
     def show(self, name: str) -> str:
         """Return the value of a decklb parameter, named with or without its prefix. Raises PgError for other names."""
         values = {
--- a/decklb/pg/session.py
+++ b/decklb/pg/session.py
@@ -21,7 +21,7 @@
 from decklb.pg import sqlstate
 from decklb.pg.errors import PgError
 from decklb.pg.messages import BackendType, FrontendType, Message, PayloadReader
-from decklb.pg.parameters import SessionParameters
+from decklb.pg.parameters import ALL, SessionParameters
 from decklb.pg.prepared_statements import NamedObjects, Portal, PreparedStatement
 from decklb.pg.request import PgRequest
 from decklb.pg.settings import PgSettings
@@ -74,7 +74,7 @@
 
     def __init__(self, context: SessionContext, output: SessionOutput, parameters: SessionParameters) -> None:
         self._context, self._output = context, output
-        self.parameters = parameters
+        self._initial_parameters = self.parameters = parameters
         self._objects = NamedObjects()
         self._skipping_until_sync = False  # after an error in the extended query protocol
         self._in_simple_query = False  # the query ends with ReadyForQuery, even after an error
@@ -277,10 +277,18 @@
                 value = self.parameters.show(classification.name).encode()
                 row = pg.pack(BackendType.DATA_ROW, struct.pack(">hi", 1, len(value)) + value)
                 return row + pg.pack_command_complete("SHOW")
-            case _:
-                if classification.name in ("DISCARD", "DEALLOCATE"):
-                    self._objects.close_all_statements()
-                return pg.pack_command_complete(classification.name)
+            case LocalCommand.RESET:
+                self.parameters = self.parameters.reset(classification.name, self._initial_parameters)
+            case LocalCommand.DISCARD if classification.name == ALL:
+                self.parameters = self._initial_parameters
+                self._objects.close_all_statements()
+            case LocalCommand.DEALLOCATE if classification.name == ALL:
+                self._objects.close_all_statements()
+            case LocalCommand.DEALLOCATE:
+                self._objects.statement(classification.name)  # raises if it does not exist
+                self._objects.close_statement(classification.name)
+        assert classification.local is not None
+        return pg.pack_command_complete(classification.local.name)
 
     def _new_request(
         self,
--- a/decklb/pg/statements.py
+++ b/decklb/pg/statements.py
@@ -79,6 +79,11 @@
     r"(?P<value>'[^']*+(?:''[^']*+)*+'|[^;\s]++)" + _STATEMENT_END,
     re.IGNORECASE,
 )
+_CLEAR = re.compile(
+    r"\s*+(?P<command>reset|discard|deallocate)\s++(?:prepare\s++)?"
+    r"(?P<name>session\s++authorization|time\s++zone|\"[^\"]++\"|[\w.]++)" + _STATEMENT_END,
+    re.IGNORECASE,
+)
 _SHOW = re.compile(r"\s*+show\s++(?P<name>decklb\.\w++)" + _STATEMENT_END, re.IGNORECASE)
 
 
@@ -88,7 +93,9 @@
     EMPTY = auto()
     SET = auto()
     SHOW = auto()
-    RESET = auto()  # RESET, DISCARD and DEALLOCATE
+    RESET = auto()
+    DISCARD = auto()
+    DEALLOCATE = auto()
 
 
 @dataclass(slots=True)
@@ -98,7 +105,8 @@
     Attributes:
         writes: Whether it may change data.
         local: The command that is answered without an engine; None if an engine has to run the statement.
-        name: Parameter of SET and SHOW; for RESET, DISCARD and DEALLOCATE the command itself.
+        name: Parameter of SET, SHOW and RESET; for DISCARD what is discarded; prepared statement of DEALLOCATE. `ALL`
+            stands for each of them, in any case of letters.
         value: Value of SET.
     """
 
@@ -177,7 +185,7 @@
     if show := _SHOW.match(sql):
         return Classification(local=LocalCommand.SHOW, name=show["name"].lower())
     if first_word != b"set":
-        return Classification(local=LocalCommand.RESET, name=first_word.decode().upper())
+        return _classify_clearing(sql, first_word)
     assignment = _SET.match(sql)
     if assignment is None:
         raise PgError(sqlstate.FEATURE_NOT_SUPPORTED, "this form of SET is not supported", "Use SET name = value.")
@@ -185,3 +193,14 @@
     if value.startswith("'"):
         value = value[1:-1].replace("''", "'")
     return Classification(local=LocalCommand.SET, name=assignment["name"].lower(), value=value)
+
+
+def _classify_clearing(sql: str, first_word: bytes) -> Classification:
+    """Classify RESET, DISCARD and DEALLOCATE. An unquoted name is folded to lower case, as PostgreSQL does."""
+    command = LocalCommand[first_word.decode().upper()]
+    match = _CLEAR.match(sql)
+    if match is None:
+        text = f"this form of {command.name} is not supported"
+        raise PgError(sqlstate.FEATURE_NOT_SUPPORTED, text, f"Use {command.name} name or {command.name} ALL.")
+    name = match["name"]
+    return Classification(local=command, name=name[1:-1] if name.startswith('"') else name.lower())
--- a/tests/test_pg_queries.py
+++ b/tests/test_pg_queries.py
@@ -132,6 +132,31 @@
                 client.execute(f"set datestyle = '{value}'")
 
 
+def test_reset_restores_what_the_session_started_with(pg_program):
+    with pg_program.connect(options="-c decklb.class=load") as client:
+        for reset in ("reset decklb.class", "RESET ALL", "discard all"):
+            client.execute("set decklb.class = read")
+            client.execute("set decklb.key = 'k'")
+            client.execute(reset)
+            assert client.execute("show decklb.class").fetchone() == ("load",)
+            assert client.execute("show decklb.key").fetchone() == ("k" if reset == "reset decklb.class" else "",)
+        client.execute("set decklb.key = 'k'")
+        client.execute("discard plans")
+        assert client.execute("show decklb.key").fetchone() == ("k",)
+        with pytest.raises(psycopg.errors.UndefinedObject):
+            client.execute("reset decklb.colour")
+
+
+def test_deallocate_forgets_the_named_prepared_statement_only(pg_program):
+    client = pg_program.scripted_client()
+    client.send(parse("a", b"a"), parse("b", b"b"), pg.SYNC, query("deallocate a"), query("deallocate a"))
+    assert (client.types(), client.types(), client.types()) == (b"11Z", b"CZ", b"EZ")
+    client.send(bind(b"b"), execute(), pg.SYNC, bind(b"a"), pg.SYNC)
+    assert (client.types(), client.types()) == (b"2DCZ", b"EZ")
+    client.send(query("discard plans"), bind(b"b"), pg.SYNC, query("deallocate all"), bind(b"b"), pg.SYNC)
+    assert (client.types(), client.types(), client.types(), client.types()) == (b"CZ", b"2Z", b"CZ", b"EZ")
+
+
 # Guards against incident 2: a SET that can't be read took minutes, in which no other client was answered.
 def test_a_long_set_that_is_rejected_does_not_delay_other_clients(pg_program):
     sender, other = pg_program.scripted_client(), pg_program.scripted_client()
--- a/tests/test_pg_statements.py
+++ b/tests/test_pg_statements.py
@@ -22,6 +22,9 @@
         ("SET decklb.class = 'load'", LocalCommand.SET, False),
         ("set statement_timeout to 500", LocalCommand.SET, False),
         ("RESET ALL", LocalCommand.RESET, False),
+        ("reset session authorization;", LocalCommand.RESET, False),
+        ("discard plans", LocalCommand.DISCARD, False),
+        ("deallocate prepare a", LocalCommand.DEALLOCATE, False),
         ("show decklb.tenant", LocalCommand.SHOW, False),
         ("show server_version", None, False),
         ("with x as (delete from a returning 1) select * from x", None, True),
@@ -71,6 +74,9 @@
         "set names 'UTF8'",
         "set session characteristics as transaction read only",
         "set transaction read only",
+        "reset a b",
+        "discard",
+        "deallocate a.b c",
     ],
 )
 def test_statements_that_need_an_engines_session_are_not_supported(sql):
