PostgreSQL: DISCARD of what does not exist is refused

Change: its five forms, each command with a part of the pattern of its own; the time stays linear for three more shapes of text.

--- a/decklb/pg/statements.py
+++ b/decklb/pg/statements.py
@@ -80,8 +80,9 @@
     re.IGNORECASE,
 )
 _CLEAR = re.compile(
-    r"\s*+(?P<command>reset|discard|deallocate)\s++(?:prepare\s++)?"
-    r"(?P<name>session\s++authorization|time\s++zone|\"[^\"]++\"|[\w.]++)" + _STATEMENT_END,
+    r"\s*+(?:discard\s++(?P<discarded>all|plans|sequences|temp|temporary)"
+    r"|deallocate\s++(?:prepare\s++)?(?P<statement>\"[^\"]++\"|\w++)"
+    r"|reset\s++(?P<parameter>session\s++authorization|time\s++zone|[\w.]++))" + _STATEMENT_END,
     re.IGNORECASE,
 )
 _SHOW = re.compile(r"\s*+show\s++(?P<name>decklb\.\w++)" + _STATEMENT_END, re.IGNORECASE)
@@ -202,5 +203,5 @@
     if match is None:
         text = f"this form of {command.name} is not supported"
         raise PgError(sqlstate.FEATURE_NOT_SUPPORTED, text, f"Use {command.name} name or {command.name} ALL.")
-    name = match["name"]
+    name = match[match.lastgroup or 0]
     return Classification(local=command, name=name[1:-1] if name.startswith('"') else name.lower())
--- a/tests/test_pg_statements.py
+++ b/tests/test_pg_statements.py
@@ -76,6 +76,7 @@
         "set transaction read only",
         "reset a b",
         "discard",
+        "discard everything",
         "deallocate a.b c",
     ],
 )
@@ -101,6 +102,9 @@
         (lambda n: "set a = 'b'" + n * " " + ";" + n * " " + "x", 1000),
         (lambda n: "set a = '" + n * "''" + "x", 1000),
         (lambda n: "set " + n * "a." + " x", 1000),
+        (lambda n: "reset" + n * " " + "session" + n * " " + "x", 1000),
+        (lambda n: "deallocate" + n * " " + "prepare" + n * " " + "x" + n * " " + "y", 1000),
+        (lambda n: 'deallocate "' + n * "a", 1000),
         (lambda n: "show decklb.a" + n * " " + "x", 1000),
         (lambda n: "show decklb.a" + n * " " + ";" + n * " " + "x", 1000),
     ],
