PostgreSQL: a reset of a cancel request closes the session only once its statement has ended

Cause: closed the session at once, also where the statement still ran. Change: the session is closed at its ReadyForQuery, and after 500 ms as before.

--- a/decklb/pg/engine_connection.py
+++ b/decklb/pg/engine_connection.py
@@ -65,6 +65,7 @@
         self.attempt: Attempt | None = None  # notified when the statement ends
         self._on_released: Callable[[], None] | None = None  # called instead of the attempt after its cancellation
         self._cancel_request: CancelRequest | None = None  # on its way to the engine
+        self._cancel_uncertain = False  # the engine may still read the last cancel request
         self._backend_key = NO_BACKEND_KEY
         self._statements = EnginePreparedStatements()
         self._result = list[bytes]()  # messages to forward to the client
@@ -119,13 +120,15 @@
         self._abort("cancel-timeout")
 
     def _cancel_request_ended(self, end: CancelEnd) -> None:
-        """Use the session again if the statement has ended too; a request that may still be read would end the next."""
-        self._cancel_request = None
-        if self.closed:
-            return
-        if end is CancelEnd.UNKNOWN:
+        self._cancel_request, self._cancel_uncertain = None, end is CancelEnd.UNKNOWN
+        if self._on_released is None and not self.closed:
+            self._reuse_or_close()
+
+    def _reuse_or_close(self) -> None:
+        """The statement has ended. A cancel request that may still be read would end the next one in this session."""
+        if self._cancel_uncertain:
             self._abort("cancel-uncertain")
-        elif self._on_released is None:
+        elif self._cancel_request is None or self.pool.retired:
             self._schedule_idle_close()
 
     def _send(self) -> None:
@@ -198,8 +201,7 @@
         self.attempt, self._on_released, self.sent = None, None, False
         if self._cancel_request is not None:
             self._cancel_request.withdraw()
-        if self._cancel_request is None or self.pool.retired:
-            self._schedule_idle_close()
+        self._reuse_or_close()
         if on_released is not None:
             on_released()
         elif attempt is not None:
--- a/tests/test_pg_cancel_requests.py
+++ b/tests/test_pg_cancel_requests.py
@@ -141,16 +141,19 @@
     engines.assert_reused(transport)
 
 
-@pytest.mark.parametrize("statement_ends", [True, False])
-def test_a_session_is_closed_if_its_cancel_request_is_reset(statement_ends):
+@pytest.mark.parametrize("statement_ends_first", [True, False])
+def test_a_session_is_closed_after_its_statement_if_its_cancel_request_was_reset(statement_ends_first):
     engines = Engines()
     attempt, session, transport = engines.running_statement()
     engines.abandon(attempt)
     cancel, _ = engines.connect()
-    if statement_ends:
+    if statement_ends_first:
         session.dataReceived(COMPLETE)
     cancel.connectionLost(Failure(ConnectionLost()))
-    assert transport.disconnected
+    if not statement_ends_first:
+        assert (transport.disconnected, engines.released) == (False, [])  # the statement may still run
+        session.dataReceived(COMPLETE)
+    assert (transport.disconnected, engines.released) == (True, [attempt])
     engines.assert_not_used(transport)
 
 
