--- a/decklb/cli/lab/__init__.py
+++ b/decklb/cli/lab/__init__.py
@@ -8,7 +8,7 @@
 
 import click
 
-from decklb.cli.lab import benchmarks, experiments, fault_injection, fault_runs, load
+from decklb.cli.lab import benchmarks, crowds, experiments, fault_injection, fault_runs, load
 
 
 @click.group()
@@ -34,6 +34,7 @@
     fault_injection.calls,
     fault_injection.cuts,
     fault_injection.ramp,
+    crowds.crowds,
 ):
     lab.add_command(command)
 
--- a/decklb/lab/fault_runs/program_process.py
+++ b/decklb/lab/fault_runs/program_process.py
@@ -136,7 +136,7 @@
             ProgramStartError: It ended, or did not listen in time.
         """
         path = self.folder / "config.json"
-        path.write_text(json.dumps(self._configuration()))
+        path.write_text(json.dumps(self.configuration()))
         self.log_lines.clear()
         process = self.process = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -165,7 +165,7 @@
         if self._log_reader is not None:
             await self._log_reader
 
-    def _configuration(self) -> dict[str, Any]:
+    def configuration(self) -> dict[str, Any]:
         """Return the program's configuration in the platform's format; the directory must have its port."""
         instances = [
             {
--- a/decklb/lab/standins/recording_peers.py
+++ b/decklb/lab/standins/recording_peers.py
@@ -97,14 +97,21 @@
         return attempt
 
 
+@dataclass(slots=True)
 class RespEngine(RecordingEngine):
-    """An engine that speaks the platform's RESP protocol; every statement returns one row."""
+    """An engine that speaks the platform's RESP protocol; every statement returns one row.
+
+    Attributes:
+        max_element_bytes: Largest statement in bytes.
+    """
+
+    max_element_bytes: int = resp.MAX_ELEMENT_BYTES
 
     async def session(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, running: dict[str, RecordedAttempt]
     ) -> None:
         """Record and answer attempts."""
-        parser = resp.RespReader()
+        parser = resp.RespReader(self.max_element_bytes)
         while data := await reader.read(65536):
             for parts in parser.feed(data):
                 name = parts[1].decode()
--- a/decklb/net/resp.py
+++ b/decklb/net/resp.py
@@ -24,8 +24,9 @@
 class RespReader:
     """Splits a byte stream, received in arbitrary pieces, into arrays."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_element_bytes: int = MAX_ELEMENT_BYTES) -> None:
         self.buffer = bytearray()  # the incomplete array
+        self._max_element_bytes = max_element_bytes
 
     def feed(self, data: bytes) -> list[list[bytes]]:
         """Return the arrays that are now complete. Raises RespError; the reader can't be used after that."""
@@ -45,7 +46,7 @@
         count, offset = header
         elements = []
         for _ in range(count):
-            header = self._read_number(offset, b"$", MAX_ELEMENT_BYTES)
+            header = self._read_number(offset, b"$", self._max_element_bytes)
             if header is None:
                 return None
             size, offset = header
