Stand-in engine of the tests: close the connection when its peer has closed

Cause of a warning beside the suite (StreamWriter.__del__: event loop is closed): RespEngine._serve returned at the end of its input and left its writer open, traced by recording where each such writer was made (every one of those written by then was this stand-in's). Its task ends with writer.close() now, as those of the other stand-ins do.

--- a/tests/frame_standins.py
+++ b/tests/frame_standins.py
@@ -45,6 +45,14 @@
 
     async def _serve(self, reader, writer):
         self.connections += 1
+        try:
+            await self._answer_commands(reader, writer)
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+
+    async def _answer_commands(self, reader, writer):
         parser, statements = resp.RespReader(), {}
         while data := await reader.read(65536):
             for command in parser.feed(data):
