Core: an account of the memory that connections hold; requests drop their statement at their end

A finished request's statement lived on in the records of recent answers of its engine connection, for a second or until the next answer.

The comparison of decoded requests with the recording leaves out the charge, which is not read from the wire.

--- a/decklb/core/dispatcher.py
+++ b/decklb/core/dispatcher.py
@@ -221,3 +221,4 @@
         # made its full collections take 20 to 50 ms, during which deadlines passed.
         if request.request_id not in self.requests and not request.has_open_attempt():
             request.attempts.clear()
+            request.incoming.release()
--- a/decklb/core/ports.py
+++ b/decklb/core/ports.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Protocol
 
+from decklb.core.memory_account import RequestCharge
 from decklb.interface import Outcome
 
 
@@ -29,6 +30,14 @@
     ordering_key: str | None = None  # requests with the same key run one after another if their class requires it
     deduplication_token: str = ""
     idempotency_key: str = ""  # with this key the client can ask any manager again for the same answer; "": none
+    # The charge of the memory that the request holds; no part of what was read.
+    charge: RequestCharge | None = field(default=None, compare=False, repr=False)
+
+    def release(self) -> None:
+        """The request is over and none of its attempts is open: drop what only an attempt needs."""
+        self.statement = b""
+        if self.charge is not None:
+            self.charge.release()
 
 
 class Timer(Protocol):
--- a/decklb/handoff/protected_dispatcher.py
+++ b/decklb/handoff/protected_dispatcher.py
@@ -166,6 +166,8 @@
         self, protected: ProtectedRequest, request: IncomingRequest, result: AdmissionResult, submitted_at_ms: float
     ) -> None:
         self.log_step(protected, f"{result.state.value} {result.reason}")
+        if result.state is not AdmissionState.ADMITTED or protected.cancelled:  # the dispatcher never gets it
+            request.release()
         match result.state:
             case AdmissionState.ADMITTED if protected.cancelled:
                 self.coordinator.release(protected.key)
--- a/decklb/pg/request.py
+++ b/decklb/pg/request.py
@@ -16,3 +16,8 @@
     bind: bytes | None = None  # the rest of Bind after the names, unchanged; None: only describe the statement
     describe: bool = False  # also describe the portal
     execute: bool = True  # execute the portal
+
+    def release(self) -> None:
+        """Drop the statement and its parameters. See `IncomingRequest.release`."""
+        IncomingRequest.release(self)
+        self.bind = None
--- a/tests/test_net_wire_format.py
+++ b/tests/test_net_wire_format.py
@@ -61,7 +61,8 @@
         incoming = frames.read_request(payload + bytes.fromhex(case["body"]), parse_settings(SETTINGS))
     except frames.InvalidRequestError as error:
         return {"error": str(error)}
-    return {"work": [v.hex() if isinstance(v, bytes) else v for v in dataclasses.astuple(incoming)]}
+    values = [getattr(incoming, field.name) for field in dataclasses.fields(incoming) if field.compare]
+    return {"work": [value.hex() if isinstance(value, bytes) else value for value in values]}
 
 
 def resp_decoding(data, size):
