--- a/decklb/core/memory_account.py
+++ b/decklb/core/memory_account.py
@@ -21,6 +21,7 @@
 
 
 KIND_COUNT = len(HeldKind)
+UNLIMITED_BYTES = 1 << 60  # limit of an account that only counts
 SMALL_MESSAGE_BYTES = 8192  # up to this size a message counts as small
 LARGE_MESSAGE_SHARE = 0.75  # of the limit, which large messages may use
 REQUEST_OVERHEAD_BYTES = 4096  # records of an open request beside its message
@@ -28,15 +29,15 @@
 
 
 class Holder:
-    """What one connection holds."""
+    """What one connection holds, and the most that it held."""
 
-    __slots__ = ("name", "amounts", "total", "_account")
+    __slots__ = ("name", "amounts", "total", "peak", "_account")
 
     def __init__(self, account: MemoryAccount, name: str) -> None:
         """`name` says in the log which connection this is."""
         self.name, self._account = name, account
         self.amounts = [0] * KIND_COUNT
-        self.total = 0
+        self.total = self.peak = 0
 
     def set(self, kind: HeldKind, amount: int) -> None:
         """Set what is held of one kind, in bytes."""
@@ -54,6 +55,7 @@
             raise ValueError(f"{self.name} would hold less than nothing of {kind.name}")
         self.amounts[kind] += difference
         self.total += difference
+        self.peak = max(self.peak, self.total)
         self._account.changed(self, kind, difference)
 
     def charge_request(self, message_bytes: int) -> RequestCharge:
--- a/decklb/daemon/assembly.py
+++ b/decklb/daemon/assembly.py
@@ -7,6 +7,7 @@
 
 from decklb.config import Config
 from decklb.core.dispatcher import Dispatcher
+from decklb.core.memory_account import MemoryAccount
 from decklb.core.ports import Clock
 from decklb.daemon.request_path import RequestPath
 from decklb.daemon.subsystems.base import SubsystemContext
@@ -17,23 +18,22 @@
     reactor: Any, clock: Clock, config: Config, random_below: Callable[[int], int], ready: Callable[[], bool]
 ) -> RequestPath:
     """Build the front and the engine client: those of PostgreSQL if its section is given, else the platform's."""
+    account = MemoryAccount(config.max_held_bytes)
     if config.postgres is None:
         from decklb.net.engines import RespEngines
         from decklb.net.listener import FrameListener
 
-        resp_engines = RespEngines(reactor, clock, config.connection_limits)
+        resp_engines = RespEngines(reactor, clock, config.connection_limits, account)
         dispatcher = Dispatcher(config.settings, config.seed, clock, resp_engines)
-        frame_listener = FrameListener(
-            dispatcher, ready, config.max_clients, config.max_extra_clients, config.max_client_bytes
-        )
-        return RequestPath(dispatcher, frame_listener, resp_engines)
+        frame_listener = FrameListener(dispatcher, ready, config.max_clients, config.max_extra_clients, account)
+        return RequestPath(dispatcher, frame_listener, resp_engines, account)
     from decklb.pg.engines import PgEngines
     from decklb.pg.listener import PgListener
 
-    pg_engines = PgEngines(reactor, clock, config.postgres)
+    pg_engines = PgEngines(reactor, clock, config.postgres, account)
     dispatcher = Dispatcher(config.settings, config.seed, clock, pg_engines)
-    pg_listener = PgListener(dispatcher, config.postgres, random_below, config.max_clients)
-    return RequestPath(dispatcher, pg_listener, pg_engines)
+    pg_listener = PgListener(dispatcher, config.postgres, random_below, config.max_clients, account)
+    return RequestPath(dispatcher, pg_listener, pg_engines, account)
 
 
 def assemble_subsystems(context: SubsystemContext) -> Subsystems:
--- a/decklb/daemon/request_path.py
+++ b/decklb/daemon/request_path.py
@@ -7,6 +7,7 @@
 
 if TYPE_CHECKING:
     from decklb.core.dispatcher import Dispatcher
+    from decklb.core.memory_account import MemoryAccount
     from decklb.net.engines import RespEngines
     from decklb.net.listener import FrameListener
     from decklb.pg.engines import PgEngines
@@ -15,8 +16,9 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestPath:
-    """A dispatcher, the front that submits requests to it, and the engine client that runs its attempts."""
+    """A dispatcher, its front, the engine client that runs its attempts, and the account of what connections hold."""
 
     dispatcher: Dispatcher
     front: FrameListener | PgListener
     engines: RespEngines | PgEngines
+    account: MemoryAccount
--- a/decklb/net/client_connection.py
+++ b/decklb/net/client_connection.py
@@ -18,6 +18,7 @@
 from twisted.python.failure import Failure
 
 from decklb.core.attempts import Request
+from decklb.core.memory_account import REQUEST_OVERHEAD_BYTES, SMALL_MESSAGE_BYTES, HeldKind
 from decklb.net import frames
 from decklb.net.frames import FrameError, InvalidRequestError
 from decklb.wire.connection_end import has_unread_bytes
@@ -60,14 +61,15 @@
         self.listener = listener
         self.requests: dict[int, Request | None] = {}  # open ones by stream; None until the request is submitted
         self.unsent_bytes = 0  # bytes written since the transport last had sent everything
-        self.buffered_bytes = 0  # its contribution to the sum in `connection_limits`
+        self.holder = listener.account.holder("client")
         self.has_sent_message = False  # a complete, valid message was received
         self.input_failed = False  # its input is invalid or overdue, and no longer read
         self.close_reason = ""  # why it is to close once nothing is pending; "" while it is not to close
         self.closing = False  # our side is shut down or the connection aborted: further input is discarded
         self.over_limit = False  # accepted beyond the limit: its requests are rejected
-        self.reader = frames.FrameReader()  # its buffer holds the partial message
+        self.reader = frames.FrameReader()
         self._go_away_sent = False
+        self._reading_paused = False  # it does not read its answers, and memory is short
         self._end_reason = "client-closed"  # for the log
         self._accepted_requests = 0
         self._invalid_frames = 0
@@ -77,18 +79,21 @@
         self.transport.setTcpNoDelay(True)
         # As a pull producer, it is called each time that the transport has sent everything.
         self.transport.registerProducer(self, False)
+        self.holder.name = f"client {self._peer_address()}"
         self.listener.limits.add(self)
         if self.listener.draining:
             self.go_away()
 
     # The transport reports whether the client reads its answers. The input of a client that reads slowly is accepted
-    # all the same, because its requests would be lost otherwise.
+    # while there is memory for its answers.
 
     def resumeProducing(self) -> None:
         """Called by the transport when everything written has been sent."""
         if self.unsent_bytes:
-            self.unsent_bytes = 0
-            self._count_buffered()
+            self._set_unsent(0)
+            if self._reading_paused:
+                self._reading_paused = False
+                self.transport.resumeProducing()
             self._request_ended()
 
     def stopProducing(self) -> None:
@@ -100,27 +105,48 @@
         """Handle received bytes: frames, split at any position."""
         if self.input_failed or self.closing:
             return
+        self.reader.append(data)
         message_completed = False
         try:
-            for frame in self.reader.feed(data):
+            while (frame := self.reader.next_frame()) is not None:
                 message_completed = True
+                self._report_received()
                 self._handle(frame)
                 if self.input_failed:
                     return
+            self._report_partial()
         except FrameError as error:
             self.fail(error.reason)
             return
         self.listener.limits.update(self, message_completed)
-        self._count_buffered()
         self._close_if_done()
 
+    def _report_received(self) -> None:
+        self.holder.set(HeldKind.PARTIAL_MESSAGE, len(self.reader.buffer))
+
+    def _report_partial(self) -> None:
+        """Report the message in progress; a large one may be given up if memory is short."""
+        self._report_received()
+        if self.reader.partial_size() > SMALL_MESSAGE_BYTES:
+            self.listener.partial_messages.progressed(self, self.listener.dispatcher.clock.now())
+        else:
+            self.listener.partial_messages.remove(self)
+
+    def discard_partial(self) -> None:
+        """Give up the message in progress, to save memory; its request is rejected when its end has arrived."""
+        self.reader.discard_partial()
+        self._report_received()
+
     def _handle(self, frame: frames.Frame) -> None:
         if frame.type == frames.REQUEST:
             if frame.stream == 0 or frame.stream in self.requests:
                 # An answer on a stream in use would look like a second answer to its first request.
                 self._ignore_invalid("stream-in-use")
                 return
-            self._submit(frame)
+            if frame.discarded or not self.listener.account.admits(len(frame.payload), REQUEST_OVERHEAD_BYTES):
+                self._reject_for_memory(frame.stream)
+            else:
+                self._submit(frame)
         elif frame.type == frames.CANCEL:
             if (request := self._release(frame.stream)) is not None:
                 self.listener.dispatcher.abandon(request)
@@ -159,9 +185,16 @@
             self.answer(stream, frames.REJECTED, listener.overload_fields)
             return
         self._accepted_requests += 1
+        incoming.charge = self.holder.charge_request(len(frame.payload))
         request = listener.dispatcher.submit(incoming, StreamSink(self, stream))
         self.requests[stream] = listener.requests[incoming.client_request_id] = request
 
+    def _reject_for_memory(self, stream: int) -> None:
+        """Reject a request that was not kept, or can't be; it is safe to retry."""
+        self.listener.memory_log.request_rejected(self.holder)
+        self.requests[stream] = None
+        self.answer(stream, frames.REJECTED, self.listener.overload_fields)
+
     def _release(self, stream: int) -> Request | None:
         """Free the stream; returns its request if it was submitted."""
         request = self.requests.pop(stream, None)
@@ -179,24 +212,26 @@
         """Send the only answer on a stream, complete; does nothing if the client has cancelled the request or left."""
         if stream in self.requests:
             self._release(stream)
+            if code == frames.SERVED and self.unsent_bytes and not self.listener.account.admits(len(body), len(body)):
+                # It does not read its answers, and there is no memory for more of them.
+                code, fields, body = frames.FAILED, frames.error_fields("answers-unread"), b""
             self._write(frames.pack_answer(stream, code, fields, body))
             self._request_ended()
 
     def _write(self, data: bytes) -> None:
+        was_unsent = self.unsent_bytes
         self.transport.write(data)
-        self.unsent_bytes += len(data)
-        self._count_buffered()
-
-    def _count_buffered(self) -> None:
-        """Enforce the memory limits on unsent answers and partial messages, of this client and of all."""
-        limits = self.listener.limits
-        buffered_bytes = self.unsent_bytes + len(self.reader.buffer)
-        limits.buffered_bytes += buffered_bytes - self.buffered_bytes
-        self.buffered_bytes = buffered_bytes
+        self._set_unsent(was_unsent + len(data))
         if self.unsent_bytes > MAX_UNSENT_BYTES:
             self.abort("slow-reader")
-        elif limits.buffered_bytes > limits.max_buffered_bytes:
-            limits.abort_largest()
+        elif was_unsent and self.listener.account.under_pressure and not self._reading_paused:
+            self._reading_paused = True
+            self.transport.pauseProducing()
+            self.listener.memory_log.reading_paused(self.holder)
+
+    def _set_unsent(self, unsent_bytes: int) -> None:
+        self.unsent_bytes = unsent_bytes
+        self.holder.set(HeldKind.UNSENT_ANSWER, unsent_bytes)
 
     def _request_ended(self) -> None:
         if not self.requests and not self.closing:
@@ -208,14 +243,14 @@
     @property
     def has_work_pending(self) -> bool:
         """Whether it has an open request, unsent bytes or a partial message."""
-        return not self.closing and bool(self.requests or self.unsent_bytes or self.reader.buffer)
+        return not self.closing and bool(self.requests or self.unsent_bytes or self.reader.has_partial)
 
     def fail(self, reason: str) -> None:
         """Stop reading: send the reason on stream 0, and close once open requests are answered."""
         if self.input_failed or self.closing:
             return
         self.input_failed, self.close_reason = True, reason
-        self.reader = frames.FrameReader()
+        self._drop_input()
         self._write(frames.pack_answer(0, frames.FAILED, frames.error_fields(reason)))
         self.close_when_done(reason)
 
@@ -234,7 +269,7 @@
         self._close_if_done()
 
     def _close_if_done(self) -> None:
-        if self.close_reason and not self.requests and not (self.reader.buffer and not self.input_failed):
+        if self.close_reason and not self.requests and not (self.reader.has_partial and not self.input_failed):
             self.close(self.close_reason)
 
     def close(self, reason: str) -> bool:
@@ -252,11 +287,15 @@
         self._end_reason, self.closing = reason, True
         with suppress(OSError):  # the client has closed already
             self.transport.getHandle().shutdown(socket.SHUT_WR)
-        self.reader = frames.FrameReader()
-        self._count_buffered()
+        self._drop_input()
         self.listener.limits.update(self)
         return True
 
+    def _drop_input(self) -> None:
+        self.reader = frames.FrameReader()
+        self.listener.partial_messages.remove(self)
+        self._report_received()
+
     def close_socket(self) -> None:
         """Free the descriptor; the kernel still delivers what was sent."""
         self.transport.unregisterProducer()
@@ -271,18 +310,22 @@
     def connectionLost(self, reason: Failure | None = None) -> None:
         """Unregister the connection and abandon its open requests."""
         self.listener.limits.remove(self)
+        self._drop_input()
+        self._set_unsent(0)
         abandoned = [request for request in map(self._release, list(self.requests)) if request is not None]
         for request in abandoned:
             self.listener.dispatcher.abandon(request)
         if self._end_reason == "client-closed" and reason is not None and reason.type is not ConnectionDone:
             self._end_reason = "reset"
         logger.info(
-            "client connection ended: {reason} requests={requests} abandoned={abandoned} peer={peer}",
+            "client connection ended: {reason} requests={requests} abandoned={abandoned} peer={peer} "
+            "most_held={most_held}",
             event="client-connection-ended",
             reason=self._end_reason,
             requests=self._accepted_requests,
             abandoned=len(abandoned),
             peer=self._peer_address(),
+            most_held=self.holder.peak,
         )
 
     def _peer_address(self) -> str:
--- a/decklb/net/connection_limits.py
+++ b/decklb/net/connection_limits.py
@@ -1,4 +1,4 @@
-"""Limits on client connections: their number, how long each may wait, and how many bytes they buffer.
+"""Limits on client connections: their number, and how long each may wait.
 
 Idle connections of clients that have sent a message stay open while there is room. When there are too many connections,
 they are closed in this order: those in a lingering close, then those that have been silent for a while, and then, if
@@ -34,11 +34,9 @@
 class ConnectionLimits:
     """Tracks the connections of one listener and evicts some of them when there are too many."""
 
-    def __init__(self, clock: Clock, max_clients: int, spare_clients: int, max_buffered_bytes: int) -> None:
+    def __init__(self, clock: Clock, max_clients: int, spare_clients: int) -> None:
         self._clock = clock
         self.max_clients, self.spare_clients = max_clients, spare_clients
-        self.max_buffered_bytes = max_buffered_bytes
-        self.buffered_bytes = 0  # of all clients: unsent answers and partial messages
         self.clients: set[ClientConnection] = set()
         # Connections by what they wait for, with the time in ms since when, oldest first. A connection is in at most
         # one of these; only those in `_partial` may have an open request.
@@ -75,8 +73,6 @@
         """Remove a connection that has ended."""
         self.clients.discard(client)
         self._unclassify(client)
-        self.buffered_bytes -= client.buffered_bytes
-        client.buffered_bytes = 0
         if self._accept_paused:
             self._make_room()
 
@@ -92,7 +88,7 @@
             return
         if not client.has_sent_message:
             return
-        if client.reader.buffer:  # a partial message
+        if client.reader.has_partial:
             if message_completed or client not in self._partial:
                 self._unclassify(client)
                 self._partial[client] = now
@@ -104,10 +100,6 @@
             self._make_room()
         self._start_sweeping()
 
-    def abort_largest(self) -> None:
-        """End the connection that buffers most, because all together buffer too much."""
-        max(self.clients, key=lambda client: client.buffered_bytes).abort("buffer-limit")
-
     def _unclassify(self, client: ClientConnection) -> None:
         for group in (self._silent, self._partial, self._idle, self._lingering):
             group.pop(client, None)
--- a/decklb/net/engine_connection.py
+++ b/decklb/net/engine_connection.py
@@ -13,6 +13,7 @@
 
 from loguru import logger
 
+from decklb.core.memory_account import HeldKind
 from decklb.interface import Outcome
 from decklb.net import engine_protocol as protocol
 from decklb.net import resp
@@ -31,6 +32,7 @@
 # a stall of this process does not count.
 MAX_STALLED_SWEEPS = 6
 WRITE_BLOCKED_LIMIT_MS = 20.0  # time for which bytes may stay unsent before further requests are held back
+MAX_UNSENT_BYTES = 131_072  # unsent bytes at which further requests are held back: a copy of each would be kept
 
 
 class RespConnection(EngineConnection):
@@ -48,6 +50,9 @@
         self.quarantined = False  # an attempt timed out here and nothing was received since
         self._stalled_sweeps = 0  # sweeps since the current incomplete reply began
         self._write_blocked_since: float | None = None  # since when the transport has had unsent bytes, in ms
+        self._unsent_bytes = 0  # written since the transport last had sent everything
+        self._result_bytes = 0  # in the pages of open attempts
+        self._holder = pool.client.account.holder(f"engine {pool.engine}")
         self._reader = resp.RespReader()
 
     # Attempts.
@@ -73,7 +78,7 @@
 
     def cancel(self, call: RespCall) -> None:
         """Cancel an attempt, because nobody waits for its result any more."""
-        if self.calls.pop(call.request_id, None) is None:
+        if not self._remove_call(call):
             return
         if call.sent:
             self.abandoned_ids.add(call.request_id)
@@ -84,7 +89,7 @@
     def _send(self, call: RespCall) -> None:
         attempt, now = call.attempt, self.pool.client.clock.now()
         if now > attempt.start_deadline_ms:  # it waited too long: its engine drains, or it may no longer be repeated
-            del self.calls[call.request_id]
+            self._remove_call(call)
             self._schedule_idle_close()
             attempt.end(Outcome.NEVER_SENT)
             return
@@ -104,12 +109,28 @@
     def write_blocked(self) -> bool:
         """Whether the engine does not read its input; a request sent now would start at an unknown time."""
         since = self._write_blocked_since
-        return since is not None and self.pool.client.clock.now() - since > WRITE_BLOCKED_LIMIT_MS
+        return since is not None and (
+            self._unsent_bytes > MAX_UNSENT_BYTES or self.pool.client.clock.now() - since > WRITE_BLOCKED_LIMIT_MS
+        )
 
     def _write(self, data: bytes) -> None:
         if self._write_blocked_since is None:
             self._write_blocked_since = self.pool.client.clock.now()
         self.transport.write(data)
+        self._unsent_bytes += len(data)
+        self._report_held()
+
+    def _report_held(self) -> None:
+        """Report the bytes that the engine has not received, and those of results that are not complete."""
+        received = len(self._reader.buffer) + self._result_bytes
+        self._holder.set(HeldKind.ENGINE, 0 if self.closed else self._unsent_bytes + received)
+
+    def _remove_call(self, call: RespCall) -> bool:
+        """Remove an attempt that is over here; returns whether it was open."""
+        if self.calls.pop(call.request_id, None) is None:
+            return False
+        self._result_bytes -= call.size
+        return True
 
     def connectionMade(self) -> None:
         """The connection is established."""
@@ -122,12 +143,15 @@
     def resumeProducing(self) -> None:
         """Called by the transport when everything written has been sent."""
         if self._write_blocked_since is not None:
-            self._write_blocked_since = None
+            self._write_blocked_since, self._unsent_bytes = None, 0
+            self._report_held()
             self._send_waiting()
 
     def _send_waiting(self) -> None:
         """Send the attempts that waited for the connection or for the engine to resume reading."""
         for call in [call for call in self.calls.values() if not call.sent]:
+            if self.write_blocked:
+                return
             self._send(call)
 
     def stopProducing(self) -> None:
@@ -148,6 +172,7 @@
                 self._handle_reply(reply[0], reply[1], resp.read_fields(reply[2]), reply[3])
         except resp.RespError as error:
             self._abort(f"protocol: {error}")
+        self._report_held()
 
     def sweep(self) -> None:
         """Called periodically: end the connection if the rest of a reply or a page does not arrive."""
@@ -171,13 +196,16 @@
             if count is None:
                 raise resp.RespError("invalid number of pages")
             call.begin_result(count, body)
+            self._result_bytes += call.size
             self._write(b"".join(resp.pack(protocol.GET_PAGE, request_id, b"%d" % page) for page in range(1, count)))
             self._end_if_complete(call)
         elif reply_type == protocol.PAGE and call.pages:
             number = _parse_count(fields.get(protocol.PAGE_NUMBER_FIELD, ""), 1, len(call.pages) - 1)
             if number is None:
                 raise resp.RespError("invalid page number")
+            size_before = call.size
             call.add_page(number, body)
+            self._result_bytes += call.size - size_before
             self._end_if_complete(call)
         elif reply_type in protocol.OUTCOMES:
             # After a page or progress the engine can't claim that the request was not executed.
@@ -191,7 +219,7 @@
             self._end_call(call, Outcome.SUCCESS, result)
 
     def _end_call(self, call: RespCall, outcome: Outcome, result: bytes = b"") -> None:
-        del self.calls[call.request_id]
+        self._remove_call(call)
         if call.pages:  # the engine keeps them until they are released
             self._write(resp.pack(protocol.RELEASE, call.request_id))
         if outcome is not Outcome.SUCCESS:
@@ -257,6 +285,8 @@
 
     def _leave_pool(self, delay_ms: float = 0.0) -> int:
         self.pool.client.connections.discard(self)
+        self.closed = True
+        self._report_held()
         return super()._leave_pool(delay_ms)
 
     def _end_calls(self, outcome: Outcome, delay_ms: float = 0.0) -> None:
--- a/decklb/net/engines.py
+++ b/decklb/net/engines.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from decklb.core.attempts import Attempt
+from decklb.core.memory_account import UNLIMITED_BYTES, MemoryAccount
 from decklb.core.ports import Clock
 from decklb.net.engine_connection import CANCEL_SETTLE_MS, RespConnection
 from decklb.net.resp_call import RespCall
@@ -53,9 +54,12 @@
 class RespEngines(PooledEngines[RespPool]):
     """The engine client for RESP engines."""
 
-    def __init__(self, reactor: Any, clock: Clock, limits: dict[str, Any]) -> None:
-        """`limits` is the section of that name in the settings."""
+    def __init__(
+        self, reactor: Any, clock: Clock, limits: dict[str, Any], account: MemoryAccount | None = None
+    ) -> None:
+        """`limits` is the section of that name in the settings; `account` counts what the connections hold."""
         super().__init__(reactor, clock, float(limits.get("connect_timeout", DEFAULT_CONNECT_TIMEOUT_MS)))
+        self.account = account or MemoryAccount(UNLIMITED_BYTES)
         self.streams_per_connection = int(limits.get("streams_per_conn", DEFAULT_STREAMS_PER_CONNECTION))
         self.idle_timeout_ms = IDLE_FRACTION * float(limits.get("conn_idle", DEFAULT_ENGINE_IDLE_TIMEOUT_MS))
         self.connections: set[RespConnection] = set()  # of all pools, including those of removed engines
--- a/decklb/net/frames.py
+++ b/decklb/net/frames.py
@@ -56,32 +56,79 @@
     type: int
     stream: int
     payload: bytes
+    discarded: bool = False  # its payload was not kept
 
 
 class FrameReader:
     """Splits a byte stream, received in arbitrary pieces, into frames."""
 
     def __init__(self) -> None:
-        self.buffer = bytearray()  # the incomplete frame
+        self.buffer = bytearray()  # received bytes that belong to no returned frame
+        self._discarding: Frame | None = None  # the frame whose payload is not kept
+        self._bytes_to_discard = 0  # of its payload that are still to come
 
     def feed(self, data: bytes) -> Iterator[Frame]:
         """Yield the frames that are now complete, one by one, so that those before an error are handled.
 
         Raises FrameError for invalid input; the reader can't be used after that.
         """
+        self.append(data)
+        while (frame := self.next_frame()) is not None:
+            yield frame
+
+    def append(self, data: bytes) -> None:
+        """Add received bytes."""
+        if self._bytes_to_discard:
+            discarded = min(self._bytes_to_discard, len(data))
+            self._bytes_to_discard -= discarded
+            data = data[discarded:]
         self.buffer += data
-        offset = 0
-        while len(self.buffer) - offset >= LENGTH_SIZE:
-            length = int.from_bytes(self.buffer[offset : offset + LENGTH_SIZE], "big")
-            if not MIN_LENGTH <= length <= MAX_LENGTH:  # checked before waiting for the payload
-                raise FrameError("bad-length")
-            end = offset + LENGTH_SIZE + length
-            if len(self.buffer) < end:
-                break
-            _, frame_type, stream = HEADER.unpack_from(self.buffer, offset)
-            yield Frame(frame_type, stream, bytes(self.buffer[offset + HEADER.size : end]))
-            offset = end
-        del self.buffer[:offset]
+
+    def next_frame(self) -> Frame | None:
+        """Return the next complete frame, or None. Raises FrameError as `feed` does."""
+        if self._discarding is not None:
+            return self._end_of_discarded()
+        size = self._frame_size()
+        if not size or len(self.buffer) < size:
+            return None
+        _, frame_type, stream = HEADER.unpack_from(self.buffer)
+        payload = bytes(memoryview(self.buffer)[HEADER.size : size])
+        del self.buffer[:size]
+        return Frame(frame_type, stream, payload)
+
+    def _frame_size(self) -> int:
+        """Return the size in bytes of the frame that begins the buffer; 0 while it is not known."""
+        if len(self.buffer) < LENGTH_SIZE:
+            return 0
+        length = int.from_bytes(self.buffer[:LENGTH_SIZE], "big")
+        if not MIN_LENGTH <= length <= MAX_LENGTH:  # checked before waiting for the payload
+            raise FrameError("bad-length")
+        return LENGTH_SIZE + length
+
+    def _end_of_discarded(self) -> Frame | None:
+        if self._bytes_to_discard:
+            return None
+        frame, self._discarding = self._discarding, None
+        return frame
+
+    @property
+    def has_partial(self) -> bool:
+        """Whether a frame has begun that was not returned yet."""
+        return bool(self.buffer) or self._discarding is not None
+
+    def partial_size(self) -> int:
+        """Return the size in bytes that the incomplete frame in the buffer will have; 0 while it is not known."""
+        return self._frame_size() if len(self.buffer) >= HEADER.size else 0
+
+    def discard_partial(self) -> None:
+        """Drop the incomplete frame, whose size is known, and what is still to come of it.
+
+        It is returned without its payload when its last byte has arrived.
+        """
+        _, frame_type, stream = HEADER.unpack_from(self.buffer)
+        self._discarding = Frame(frame_type, stream, b"", discarded=True)
+        self._bytes_to_discard = self._frame_size() - len(self.buffer)
+        self.buffer = bytearray()
 
 
 def pack(frame_type: int, stream: int, payload: bytes = b"") -> bytes:
--- a/decklb/net/listener.py
+++ b/decklb/net/listener.py
@@ -13,9 +13,12 @@
 
 from decklb.core.attempts import Request
 from decklb.core.dispatcher import Dispatcher
+from decklb.core.memory_account import MemoryAccount
 from decklb.net import frames
 from decklb.net.client_connection import ClientConnection
 from decklb.net.connection_limits import ConnectionLimits
+from decklb.wire.memory_log import MemoryLog
+from decklb.wire.partial_messages import PartialMessages
 
 # Retry delay in rejections by the listener itself, limited by the settings.
 OVERLOAD_RETRY_AFTER_MS = 500.0
@@ -32,7 +35,7 @@
         ready: Callable[[], bool],
         max_clients: int,
         spare_clients: int,
-        max_buffered_bytes: int,
+        account: MemoryAccount,
     ) -> None:
         """Create a listener without a port.
 
@@ -41,10 +44,12 @@
             ready: returns whether the process is ready, for readiness queries of clients.
             max_clients: number of connections that may stay open.
             spare_clients: number of further connections that are accepted while others are evicted.
-            max_buffered_bytes: limit on unsent answers and partial messages of all clients together.
+            account: the memory that connections hold.
         """
-        self.dispatcher, self.ready = dispatcher, ready
-        self.limits = ConnectionLimits(dispatcher.clock, max_clients, spare_clients, max_buffered_bytes)
+        self.dispatcher, self.ready, self.account = dispatcher, ready, account
+        self.limits = ConnectionLimits(dispatcher.clock, max_clients, spare_clients)
+        self.partial_messages = PartialMessages(account)
+        self.memory_log = MemoryLog(dispatcher.clock)
         settings = dispatcher.settings
         retry_after_ms = min(OVERLOAD_RETRY_AFTER_MS, settings.max_retry_after_ms) if settings.retry_after else 0.0
         # Fields of the answer to a request that a connection rejects itself.
--- a/decklb/pg/connection.py
+++ b/decklb/pg/connection.py
@@ -17,6 +17,7 @@
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
+from decklb.core.memory_account import SMALL_MESSAGE_BYTES, HeldKind, MemoryAccount
 from decklb.core.ports import Clock, RequestHandler, Timer
 from decklb.pg import messages as pg
 from decklb.pg import sqlstate
@@ -37,8 +38,12 @@
     startup_reply,
 )
 from decklb.wire.client_timeouts import FIRST_MESSAGE_TIMEOUT_MS, LINGERING_CLOSE_TIMEOUT_MS, PARTIAL_MESSAGE_TIMEOUT_MS
+from decklb.wire.memory_log import MemoryLog
+from decklb.wire.partial_messages import PartialMessages
 
 MAX_PENDING_BYTES = 1 << 20  # total size of the messages that wait while a statement runs
+PENDING_OVERHEAD_BYTES = 300  # of the records of a message that waits
+COPIES_OF_PENDING = 2  # a message that waits is kept with and without its header
 MAX_UNREAD_RESULTS = 2  # limit on the bytes that a client leaves unread, as a multiple of `max_result_bytes`
 
 
@@ -51,12 +56,18 @@
         registry: The open connections.
         clock: Monotonic time and timers.
         request_handler: Receives statements: the dispatcher, or the handoff in front of it.
+        account: The memory that connections hold.
+        partial_messages: The large messages in progress.
+        memory_log: Logs what was rejected or paused because memory is short.
     """
 
     session_context: SessionContext
     registry: ConnectionRegistry
     clock: Clock
     request_handler: RequestHandler
+    account: MemoryAccount
+    partial_messages: PartialMessages
+    memory_log: MemoryLog
 
 
 class ClientConnection(Protocol):
@@ -71,6 +82,8 @@
         self._running: RunningStatement | None = None
         self.write_paused = False  # the client is not reading its data
         self._reader = pg.MessageReader(context.session_context.postgres.max_message_bytes, startup=True)
+        self._holder = context.account.holder("session")
+        self._reading_paused = False  # memory is short, and messages of it wait
         self._pending: deque[pg.Message] = deque()
         self._pending_bytes = 0
         self._unread_bytes = 0  # written since the client stopped reading
@@ -86,6 +99,7 @@
         """Start the timeout for the client's first message; nothing is sent before it."""
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
+        self._holder.name = f"session {self._peer_address()}"
         self._start_timer(FIRST_MESSAGE_TIMEOUT_MS, self._message_timed_out)
         self._registry.add(self)
 
@@ -102,18 +116,54 @@
                 if self._reader.startup:
                     self._receive_startup(message)
                 else:
-                    self._pending.append(message)
-                    self._pending_bytes += len(message.raw)
+                    self._add_pending(message)
             self._handle_pending()
+            self._report_partial()
         except PgError as error:
             return self._end_with_error(error)
         if self._session is None or self._closed:
             return
-        if not self._reader.buffer:
+        if not self._reader.has_partial:
             self._cancel_timer()
         elif any_complete or self._timer is None:
             self._start_timer(PARTIAL_MESSAGE_TIMEOUT_MS, self._message_timed_out)
 
+    def _add_pending(self, message: pg.Message) -> None:
+        if not self._context.account.admits(len(message.raw)):
+            message = pg.Message(message.type, b"", b"", discarded=True)
+        if message.discarded:
+            self._context.memory_log.request_rejected(self._holder)
+        self._pending.append(message)
+        self._pending_bytes += len(message.raw) + PENDING_OVERHEAD_BYTES
+
+    def _next_pending(self) -> pg.Message:
+        message = self._pending.popleft()
+        self._pending_bytes -= len(message.raw) + PENDING_OVERHEAD_BYTES
+        return message
+
+    def _report_received(self) -> None:
+        received = len(self._reader.buffer) + COPIES_OF_PENDING * self._pending_bytes
+        self._holder.set(HeldKind.PARTIAL_MESSAGE, received)
+
+    def _report_partial(self) -> None:
+        """Report what waits and the message in progress; a large one may be given up if memory is short."""
+        self._report_received()
+        if self._closed:
+            return
+        if self._reader.partial_size() > SMALL_MESSAGE_BYTES:
+            self._context.partial_messages.progressed(self, self._context.clock.now())
+        else:
+            self._context.partial_messages.remove(self)
+        if self._pending and self._context.account.under_pressure and not self._reading_paused:
+            self._reading_paused = True
+            self.transport.pauseProducing()
+            self._context.memory_log.reading_paused(self._holder)
+
+    def discard_partial(self) -> None:
+        """Give up the message in progress, to save memory; it is refused when its end has arrived."""
+        self._reader.discard_partial()
+        self._report_received()
+
     def _receive_startup(self, message: pg.Message) -> None:
         request = read_startup(message.payload)
         if isinstance(request, EncryptionRequest):
@@ -128,7 +178,7 @@
         self._registry.check_admission()
         context = self._context.session_context
         parameters = initial_parameters(startup, context.postgres, context.workload)
-        self._session = Session(context, self, parameters)
+        self._session = Session(context, self, parameters, self._holder)
         self._reader.startup = False
         self._backend_key = self._registry.register_session(self)
         self.write(startup_reply(startup, self._backend_key))
@@ -136,8 +186,7 @@
     def _handle_pending(self) -> None:
         """Handle messages one at a time; further messages wait while an engine runs a statement."""
         while self._pending and self._running is None and not (self.write_paused or self._closed):
-            message = self._pending.popleft()
-            self._pending_bytes -= len(message.raw)
+            message = self._next_pending()
             assert self._session is not None
             try:
                 self._session.receive(message)
@@ -145,6 +194,10 @@
                 if error.fatal:
                     return self._end_with_error(error)
                 self._session.report_error(error)
+        self._report_received()
+        if self._reading_paused and not self._pending:
+            self._reading_paused = False
+            self.transport.resumeProducing()
         # Reading continues up to this limit, since a disconnect is only noticed by reading.
         if self._pending_bytes > MAX_PENDING_BYTES:
             self._end_with_error(PgError(sqlstate.PROGRAM_LIMIT_EXCEEDED, "too many messages at once", fatal=True))
@@ -155,7 +208,7 @@
         """Send data; a client that leaves too much of it unread is disconnected."""
         self.transport.write(data)
         if self.write_paused:
-            self._unread_bytes += len(data)
+            self._set_unread(self._unread_bytes + len(data))
             if self._unread_bytes > MAX_UNREAD_RESULTS * self._context.session_context.postgres.max_result_bytes:
                 self._closed, self._end_reason = True, "slow-reader"
                 self.transport.abortConnection()
@@ -174,7 +227,7 @@
     def requeue(self, message: pg.Message) -> None:
         """Handle this message again before any other."""
         self._pending.appendleft(message)
-        self._pending_bytes += len(message.raw)
+        self._pending_bytes += len(message.raw) + PENDING_OVERHEAD_BYTES
 
     def close(self, reason: str) -> None:
         """Close the connection after all written data has been sent."""
@@ -212,6 +265,10 @@
             error = PgError(sqlstate.QUERY_CANCELED, "canceling statement due to user request")
             self.complete(lambda: self.report_error(error))
 
+    def admits_result(self, result_bytes: int) -> bool:
+        """Whether there is memory to send a result of this size."""
+        return self._context.account.admits(result_bytes, result_bytes)
+
     # Backpressure: Twisted's push producer interface.
 
     def pauseProducing(self) -> None:
@@ -220,7 +277,8 @@
 
     def resumeProducing(self) -> None:
         """All written data has been sent: continue."""
-        self.write_paused, self._unread_bytes = False, 0
+        self.write_paused = False
+        self._set_unread(0)
         self._handle_pending()
 
     def stopProducing(self) -> None:
@@ -239,12 +297,22 @@
         self.write(pg.pack_error(error.sqlstate, error.message, error.hint, Severity.FATAL))
         self._closed, self._end_reason = True, error.sqlstate
         self._abandon_running()
-        self._reader.buffer.clear()
-        self._pending.clear()
+        self._drop_input()
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
         self._start_timer(LINGERING_CLOSE_TIMEOUT_MS, self._linger_ended)
 
+    def _drop_input(self) -> None:
+        self._reader.buffer.clear()
+        self._pending.clear()
+        self._pending_bytes = 0
+        self._context.partial_messages.remove(self)
+        self._report_received()
+
+    def _set_unread(self, unread_bytes: int) -> None:
+        self._unread_bytes = unread_bytes
+        self._holder.set(HeldKind.UNSENT_ANSWER, unread_bytes)
+
     def _abandon_running(self) -> None:
         statement, self._running = self._running, None
         if statement is not None and statement.handle is not None:
@@ -256,19 +324,27 @@
         self._closed = True
         self._cancel_timer()
         self._abandon_running()
+        self._drop_input()
+        self._set_unread(0)
+        if self._session is not None:
+            self._session.end()
         self._registry.remove(self, self._backend_key)
         if self._end_reason == "client-closed" and reason is not None and reason.type is not ConnectionDone:
             self._end_reason = "reset"
-        peer = self.transport.getPeer()
         logger.info(
-            "session ended: {reason} requests={requests} abandoned={abandoned} peer={peer}",
+            "session ended: {reason} requests={requests} abandoned={abandoned} peer={peer} most_held={most_held}",
             event="session-ended",
             reason=self._end_reason,
             requests=self._submitted_count,
             abandoned=self._abandoned_count,
-            peer=f"{peer.host}:{peer.port}",
+            peer=self._peer_address(),
+            most_held=self._holder.peak,
         )
 
+    def _peer_address(self) -> str:
+        peer = self.transport.getPeer()
+        return f"{peer.host}:{peer.port}"
+
     # The timer.
 
     def _start_timer(self, delay_ms: float, callback: Callable[[], None]) -> None:
--- a/decklb/pg/engine_connection.py
+++ b/decklb/pg/engine_connection.py
@@ -17,6 +17,7 @@
 from typing import TYPE_CHECKING
 
 from decklb.core.attempts import Attempt
+from decklb.core.memory_account import HeldKind
 from decklb.interface import Outcome
 from decklb.pg import messages as pg
 from decklb.pg import sqlstate
@@ -71,6 +72,8 @@
         self._result = list[bytes]()  # messages to forward to the client
         self._result_size = 0  # total size of these messages in bytes
         self._error: dict[str, str] | None = None  # fields of the last ErrorResponse, by their codes
+        self._sent_bytes = 0  # of the statement in flight
+        self._holder = pool.client.account.holder(f"engine {pool.engine}")
         self._reader = pg.MessageReader(pool.client.settings.max_result_bytes + MESSAGE_OVERHEAD, startup=False)
 
     # Attempts.
@@ -141,7 +144,14 @@
         if set_cancel_token is not None and self.cancel_key:  # lets another manager cancel it after a takeover
             set_cancel_token(self.cancel_key)
         self._result, self._result_size, self._error = [], 0, None
-        self.transport.write(self._statements.encode(pg_request))
+        encoded = self._statements.encode(pg_request)
+        self.transport.write(encoded)
+        self._sent_bytes = len(encoded)
+        self._report_held()
+
+    def _report_held(self) -> None:
+        held = 0 if self.closed else self._sent_bytes + self._result_size + len(self._reader.buffer)
+        self._holder.set(HeldKind.ENGINE, held)
 
     # Messages.
 
@@ -159,6 +169,7 @@
                     self._handle(message)
         except PgError as error:
             self._abort(f"protocol: {error}")
+        self._report_held()
 
     def _handle(self, message: pg.Message) -> None:
         if message.type in RESULT_MESSAGES:
@@ -183,10 +194,20 @@
             return
         self._result.append(raw)
         self._result_size += len(raw)
-        if self._result_size > self.pool.client.settings.max_result_bytes and self.attempt is not None:
-            attempt, self.attempt = self.attempt, None
-            self._abort("result-too-large")
-            attempt.end(Outcome.SUCCESS, pg.pack_error(sqlstate.PROGRAM_LIMIT_EXCEEDED, "the result is too large"))
+        if self.attempt is None:
+            return
+        if self._result_size > self.pool.client.settings.max_result_bytes:
+            self._end_with_error("result-too-large", sqlstate.PROGRAM_LIMIT_EXCEEDED, "the result is too large")
+        elif not self.pool.client.account.admits(self._result_size, len(raw)):
+            text = "the statement ran, but there is no memory for its result"
+            self._end_with_error("no-memory", sqlstate.STATEMENT_COMPLETION_UNKNOWN, text)
+
+    def _end_with_error(self, reason: str, error_code: str, text: str) -> None:
+        """Abort the connection; the attempt ends with an error for its client."""
+        attempt, self.attempt = self.attempt, None
+        self._abort(reason)
+        if attempt is not None:
+            attempt.end(Outcome.SUCCESS, pg.pack_error(error_code, text))
 
     def _ready_for_query(self, transaction_status: bytes) -> None:
         self._statements.statement_ended(failed=self._error is not None)
@@ -199,13 +220,14 @@
             return
         attempt, on_released = self.attempt, self._on_released
         self.attempt, self._on_released, self.sent = None, None, False
+        result, self._result, self._result_size, self._sent_bytes = b"".join(self._result), [], 0, 0
         if self._cancel_request is not None:
             self._cancel_request.withdraw()
         self._reuse_or_close()
         if on_released is not None:
             on_released()
         elif attempt is not None:
-            self._complete_attempt(attempt)
+            self._complete_attempt(attempt, result)
 
     def _start_pending_attempt(self, attempt: Attempt) -> None:
         if self.reserved:
@@ -217,12 +239,12 @@
         self._schedule_idle_close()
         attempt.end(Outcome.NEVER_SENT)
 
-    def _complete_attempt(self, attempt: Attempt) -> None:
+    def _complete_attempt(self, attempt: Attempt, result: bytes) -> None:
         error_code = (self._error or {}).get("C", "")
         if error_code.startswith(ENGINE_ERROR_CLASSES):
             self.recent_answers.answered(attempt, Outcome.ERROR)
         else:
-            self.recent_answers.answered(attempt, Outcome.SUCCESS, b"".join(self._result))
+            self.recent_answers.answered(attempt, Outcome.SUCCESS, result)
 
     # Closing.
 
@@ -269,6 +291,7 @@
 
     def _ended(self, outcome: Outcome) -> None:
         uncertain_answers = self._leave_pool()
+        self._report_held()
         aborted_attempts = int(self.sent and (self.attempt is not None or self._on_released is not None))
         self._log_end(aborted_attempts, uncertain_answers)
         attempt, on_released = self.attempt, self._on_released
--- a/decklb/pg/engine_prepared_statements.py
+++ b/decklb/pg/engine_prepared_statements.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from hashlib import blake2b
+
 from decklb.pg import messages as pg
 from decklb.pg.messages import FrontendType
 from decklb.pg.request import PgRequest
@@ -13,6 +15,7 @@
 STATEMENT = b"S"  # kinds of objects that Describe and Close refer to
 PORTAL = b"P"
 MAX_PREPARED = 200  # prepared statements on one connection
+DIGEST_BYTES = 16
 
 
 class EnginePreparedStatements:
@@ -21,9 +24,9 @@
     __slots__ = ("_names", "_unconfirmed_statement", "_name_count")
 
     def __init__(self) -> None:
-        # Generated names by (statement, parameter types), oldest first.
-        self._names: dict[tuple[bytes, bytes], bytes] = {}
-        self._unconfirmed_statement: tuple[bytes, bytes] | None = None  # no ParseComplete received yet
+        # Generated names by the digest of the statement and its parameter types, oldest first.
+        self._names: dict[bytes, bytes] = {}
+        self._unconfirmed_statement: bytes | None = None  # digest; no ParseComplete received yet
         self._name_count = 0  # number of names generated so far
 
     def encode(self, request: PgRequest) -> bytes:
@@ -42,7 +45,7 @@
 
     def _prepare(self, request: PgRequest) -> tuple[bytes, bytes]:
         """Return the messages that prepare a statement (none if it is prepared already) and its name."""
-        statement = (request.statement, request.parameter_types)
+        statement = _digest(request)
         name = self._names.get(statement)
         if name is not None:
             return b"", name
@@ -65,3 +68,10 @@
         if failed and self._unconfirmed_statement is not None:
             self._names.pop(self._unconfirmed_statement, None)
         self._unconfirmed_statement = None
+
+
+def _digest(request: PgRequest) -> bytes:
+    """Return a key for a statement with its parameter types that is short however long they are."""
+    digest = blake2b(request.statement, digest_size=DIGEST_BYTES)
+    digest.update(b"\0" + request.parameter_types)  # a statement contains no zero octet
+    return digest.digest()
--- a/decklb/pg/engines.py
+++ b/decklb/pg/engines.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from decklb.core.attempts import Attempt
+from decklb.core.memory_account import UNLIMITED_BYTES, MemoryAccount
 from decklb.core.ports import Clock
 from decklb.interface import Outcome
 from decklb.pg.cancel_request import CancelEnd, CancelRequest
@@ -72,9 +73,11 @@
 class PgEngines(PooledEngines[PgPool]):
     """The engine client that the core uses with the PostgreSQL listener."""
 
-    def __init__(self, reactor: Any, clock: Clock, settings: PgSettings) -> None:
+    def __init__(self, reactor: Any, clock: Clock, settings: PgSettings, account: MemoryAccount | None = None) -> None:
+        """`account` counts what the connections hold."""
         super().__init__(reactor, clock, CONNECT_TIMEOUT_MS)
         self.settings = settings
+        self.account = account or MemoryAccount(UNLIMITED_BYTES)
 
     def make_pool(self, engine: str, address: tuple[str, int]) -> PgPool:
         """Return a pool for an engine that is new or has moved."""
--- a/decklb/pg/listener.py
+++ b/decklb/pg/listener.py
@@ -10,11 +10,14 @@
 from twisted.internet.protocol import ServerFactory
 
 from decklb.core.dispatcher import Dispatcher
+from decklb.core.memory_account import UNLIMITED_BYTES, MemoryAccount
 from decklb.core.ports import RequestHandler
 from decklb.pg.connection import ClientConnection, ConnectionContext
 from decklb.pg.connection_registry import ConnectionRegistry
 from decklb.pg.session import SessionContext
 from decklb.pg.settings import PgSettings
+from decklb.wire.memory_log import MemoryLog
+from decklb.wire.partial_messages import PartialMessages
 
 REQUEST_ID_BOUND = 1 << 64
 
@@ -25,13 +28,27 @@
     noisy = False
 
     def __init__(
-        self, dispatcher: Dispatcher, settings: PgSettings, random_below: Callable[[int], int], max_clients: int
+        self,
+        dispatcher: Dispatcher,
+        settings: PgSettings,
+        random_below: Callable[[int], int],
+        max_clients: int,
+        account: MemoryAccount | None = None,
     ) -> None:
-        """`random_below(n)` returns a random number from 0 to n - 1."""
+        """`random_below(n)` returns a random number from 0 to n - 1; `account` counts what connections hold."""
+        account = account or MemoryAccount(UNLIMITED_BYTES)
         self._random_below = random_below
         self._registry = ConnectionRegistry(max_clients, random_below)
-        self._session_context = SessionContext(dispatcher.settings, settings, self.new_request_id)
-        self.context = ConnectionContext(self._session_context, self._registry, dispatcher.clock, dispatcher)
+        self._session_context = SessionContext(dispatcher.settings, settings, self.new_request_id, account=account)
+        self.context = ConnectionContext(
+            self._session_context,
+            self._registry,
+            dispatcher.clock,
+            dispatcher,
+            account,
+            PartialMessages(account),
+            MemoryLog(dispatcher.clock),
+        )
 
     def enable_handoff(self, request_handler: RequestHandler) -> None:
         """Submit statements to a request handler that retains answers for clients that ask again."""
--- a/decklb/pg/messages.py
+++ b/decklb/pg/messages.py
@@ -90,11 +90,13 @@
         type: Its type octet; b"" for messages up to the StartupMessage, which have none.
         payload: The bytes after the length field.
         raw: The complete message as received.
+        discarded: Its bytes were not kept, to save memory.
     """
 
     type: bytes
     payload: bytes
     raw: bytes
+    discarded: bool = False
 
 
 class MessageReader:
@@ -110,25 +112,72 @@
     def __init__(self, max_message_size: int, startup: bool) -> None:
         self.buffer = bytearray()
         self.max_message_size, self.startup = max_message_size, startup
+        self._discarding: Message | None = None  # the message whose bytes are not kept
+        self._bytes_to_discard = 0  # of it that are still to come
 
     def feed(self, data: bytes) -> Iterator[Message]:
         """Yield the messages that are now complete. After a PgError, nothing more can be read."""
+        self.append(data)
+        while (message := self.next_message()) is not None:
+            yield message
+
+    def append(self, data: bytes) -> None:
+        """Add received bytes."""
+        if self._bytes_to_discard:
+            discarded = min(self._bytes_to_discard, len(data))
+            self._bytes_to_discard -= discarded
+            data = data[discarded:]
         self.buffer += data
-        while True:
-            type_size = 0 if self.startup else 1
-            header_size = type_size + LENGTH_SIZE
-            if len(self.buffer) < header_size:
-                return
-            length = int.from_bytes(self.buffer[type_size:header_size], "big")
-            max_length = MAX_STARTUP_SIZE if self.startup else self.max_message_size
-            if not LENGTH_SIZE <= length <= max_length:  # checked before the payload arrives
-                raise PgError(sqlstate.PROTOCOL_VIOLATION, "message length is out of bounds", fatal=True)
-            message_size = type_size + length
-            if len(self.buffer) < message_size:
-                return
-            raw = bytes(self.buffer[:message_size])
-            del self.buffer[:message_size]
-            yield Message(raw[:type_size], raw[header_size:], raw)
+
+    def next_message(self) -> Message | None:
+        """Return the next complete message, or None. Raises PgError as `feed` does."""
+        if self._discarding is not None:
+            return self._end_of_discarded()
+        size = self.partial_size()
+        if not size or len(self.buffer) < size:
+            return None
+        type_size = self._type_size
+        raw = bytes(memoryview(self.buffer)[:size])
+        del self.buffer[:size]
+        return Message(raw[:type_size], raw[type_size + LENGTH_SIZE :], raw)
+
+    @property
+    def _type_size(self) -> int:
+        return 0 if self.startup else 1
+
+    def partial_size(self) -> int:
+        """Return the size in bytes of the message that begins the buffer; 0 while it is not known.
+
+        Raises PgError if it is out of bounds.
+        """
+        header_size = self._type_size + LENGTH_SIZE
+        if len(self.buffer) < header_size:
+            return 0
+        length = int.from_bytes(self.buffer[self._type_size : header_size], "big")
+        max_length = MAX_STARTUP_SIZE if self.startup else self.max_message_size
+        if not LENGTH_SIZE <= length <= max_length:  # checked before the payload arrives
+            raise PgError(sqlstate.PROTOCOL_VIOLATION, "message length is out of bounds", fatal=True)
+        return self._type_size + length
+
+    def _end_of_discarded(self) -> Message | None:
+        if self._bytes_to_discard:
+            return None
+        message, self._discarding = self._discarding, None
+        return message
+
+    @property
+    def has_partial(self) -> bool:
+        """Whether a message has begun that was not returned yet."""
+        return bool(self.buffer) or self._discarding is not None
+
+    def discard_partial(self) -> None:
+        """Drop the incomplete message, whose size is known, and what is still to come of it.
+
+        It is returned without its bytes when its last byte has arrived.
+        """
+        self._discarding = Message(bytes(self.buffer[: self._type_size]), b"", b"", discarded=True)
+        self._bytes_to_discard = self.partial_size() - len(self.buffer)
+        self.buffer = bytearray()
 
 
 def split_messages(raw: bytes) -> Iterator[Message]:
--- a/decklb/pg/running_statement.py
+++ b/decklb/pg/running_statement.py
@@ -31,6 +31,9 @@
     def report_error(self, error: PgError) -> None:
         """Send an error to the client."""
 
+    def admits_result(self, result_bytes: int) -> bool:
+        """Whether there is memory to send a result of this size."""
+
 
 @dataclass(slots=True)
 class RunningStatement:
@@ -52,6 +55,9 @@
 
     def served(self, result: bytes) -> None:
         """An engine has returned a complete answer, which may be an ErrorResponse about the statement."""
+        if not self.receiver.admits_result(len(result)):
+            text = "the statement ran, but there is no memory for its result"
+            return self._report(PgError(sqlstate.STATEMENT_COMPLETION_UNKNOWN, text))
         self.receiver.complete(lambda: self.on_result(result))
 
     def rejected(self, retry_after_ms: float) -> None:
--- a/decklb/pg/session.py
+++ b/decklb/pg/session.py
@@ -13,9 +13,10 @@
 
 import struct
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import ClassVar, Protocol
 
+from decklb.core.memory_account import REQUEST_OVERHEAD_BYTES, UNLIMITED_BYTES, Holder, MemoryAccount
 from decklb.interface import Effect, Settings
 from decklb.pg import messages as pg
 from decklb.pg import sqlstate
@@ -42,12 +43,14 @@
         postgres: Settings of the PostgreSQL front.
         new_request_id: Generates a request id for the log.
         handoff_enabled: Whether answers are retained for clients that ask again with an idempotency key.
+        account: The memory that connections hold.
     """
 
     workload: Settings
     postgres: PgSettings
     new_request_id: Callable[[], str]
     handoff_enabled: bool = False
+    account: MemoryAccount = field(default_factory=lambda: MemoryAccount(UNLIMITED_BYTES))
 
 
 class SessionOutput(Protocol):
@@ -72,10 +75,13 @@
 class Session:
     """One session, starting with its first ReadyForQuery."""
 
-    def __init__(self, context: SessionContext, output: SessionOutput, parameters: SessionParameters) -> None:
-        self._context, self._output = context, output
+    def __init__(
+        self, context: SessionContext, output: SessionOutput, parameters: SessionParameters, holder: Holder
+    ) -> None:
+        """`holder` is charged for what the session holds."""
+        self._context, self._output, self._holder = context, output, holder
         self._initial_parameters = self.parameters = parameters
-        self._objects = NamedObjects()
+        self._objects = NamedObjects(context.account, holder)
         self._skipping_until_sync = False  # after an error in the extended query protocol
         self._in_simple_query = False  # the query ends with ReadyForQuery, even after an error
         # Portal of a Describe that waits for the next message: if that executes the portal, description and rows are
@@ -87,6 +93,9 @@
         if self._skipping_until_sync and message.type not in (FrontendType.SYNC, FrontendType.TERMINATE):
             return
         portal_name, self._deferred_describe = self._deferred_describe, None
+        if message.discarded and portal_name is None:
+            self._in_simple_query = message.type == FrontendType.QUERY
+            raise self._no_memory()
         fields = PayloadReader(message.payload)
         if portal_name is not None:
             return self._resume_describe(portal_name, message, fields)
@@ -95,6 +104,17 @@
             raise PgError(sqlstate.PROTOCOL_VIOLATION, f"unexpected message {message.type!r}", fatal=True)
         handler(self, fields)
 
+    def end(self) -> None:
+        """The session has ended: free what it holds."""
+        self._objects.close_all_portals()
+        self._objects.close_all_statements()
+
+    def _no_memory(self) -> PgError:
+        retry_ms = max(1, round(self._context.workload.max_retry_after_ms))
+        return PgError(
+            sqlstate.OUT_OF_MEMORY, "there is no memory for this message now", f"Come back in {retry_ms} ms."
+        )
+
     def report_error(self, error: PgError) -> None:
         """Send a non-fatal error. Unless it ends a simple query, messages are skipped up to the next Sync."""
         self._output.write(pg.pack_error_response(error))
@@ -165,7 +185,7 @@
         If it executes the portal, description and rows are requested together. Otherwise the description is requested
         alone and the message is handled again afterwards.
         """
-        if message.type == FrontendType.EXECUTE and fields.string() == portal_name:
+        if message.type == FrontendType.EXECUTE and not message.discarded and fields.string() == portal_name:
             return self._execute_portal(portal_name, fields.integer("i"), describe=True)
         self._output.requeue(message)
         self._describe_portal(self._objects.portal(portal_name))
@@ -206,6 +226,8 @@
                 return self._relay(result, failed)
             self._output.write(portal.store(result))
             self._output.write(portal.take_rows(max_rows))
+            rows = portal.rows or ()
+            self._objects.rows_stored(name, len(rows), sum(map(len, rows)))
 
         request = self._new_request(
             statement.sql,
@@ -316,6 +338,9 @@
             self.parameters = replace(parameters, idempotency_key="")
         request_class = self._request_class(classification)
         text_bytes = sql.encode()
+        message_bytes = len(text_bytes) + len(bind or b"")
+        if not self._context.account.admits(message_bytes, message_bytes + REQUEST_OVERHEAD_BYTES):
+            raise self._no_memory()
         return PgRequest(
             self._context.new_request_id(),
             request_class,
@@ -330,6 +355,7 @@
             bind=bind,
             describe=describe,
             execute=execute,
+            charge=self._holder.charge_request(message_bytes),
         )
 
     def _request_class(self, classification: Classification) -> str:
--- a/decklb/pg/sqlstate.py
+++ b/decklb/pg/sqlstate.py
@@ -24,6 +24,7 @@
 UNDEFINED_OBJECT: Final = "42704"
 # Class 53: insufficient resources.
 INSUFFICIENT_RESOURCES: Final = "53000"
+OUT_OF_MEMORY: Final = "53200"
 TOO_MANY_CONNECTIONS: Final = "53300"
 # Class 54: program limit exceeded.
 PROGRAM_LIMIT_EXCEEDED: Final = "54000"
