Turns: the input of connections is handled fairly, within a budget of each pass

Cause: one dataReceived handled all frames of a read of 64 KB before any other connection was served, and unsound frames (cancels of unknown streams, requests with invalid fields) cost nothing.

Change: start-time fair queueing by the time that messages took (core/fair_turns.py); a connection beyond the budget of a pass is not read further until its turns have handled what it sent (wire/input_turns.py). The time that a request waited is taken off its budget. A cancel of a stream that no request used counts as an invalid frame, a thousand invalid requests end their connection. No attempt starts for a client whose close or reset lies unread (poll for RDHUP at the decision, and again where an attempt was held back).

--- a/decklb/core/attempts.py
+++ b/decklb/core/attempts.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 from decklb.core.ports import IncomingRequest, ResponseSink
@@ -15,10 +16,26 @@
 class Request:
     """An accepted request."""
 
-    __slots__ = ("request_id", "incoming", "sink", "deadline_ms", "attempts", "answered")
+    __slots__ = ("request_id", "incoming", "sink", "deadline_ms", "client_has_left", "attempts", "answered")
 
-    def __init__(self, request_id: str, incoming: IncomingRequest, sink: ResponseSink, deadline_ms: float) -> None:
-        """`request_id` is assigned by the dispatcher; `deadline_ms` is a time on the dispatcher's clock."""
+    def __init__(
+        self,
+        request_id: str,
+        incoming: IncomingRequest,
+        sink: ResponseSink,
+        deadline_ms: float,
+        client_has_left: Callable[[], bool] = lambda: False,
+    ) -> None:
+        """Create a request without attempts.
+
+        Args:
+            request_id: Assigned by the dispatcher.
+            incoming: What the front read.
+            sink: Receives the final answer.
+            deadline_ms: A time on the dispatcher's clock.
+            client_has_left: Whether the client is known to have left, though its front has not reported it yet.
+        """
+        self.client_has_left = client_has_left
         self.request_id, self.incoming, self.sink, self.deadline_ms = request_id, incoming, sink, deadline_ms
         self.attempts: list[Attempt] = []  # in order of attempt numbers
         self.answered = False  # has its final answer, or needs none because its client has gone
--- a/decklb/core/dispatcher.py
+++ b/decklb/core/dispatcher.py
@@ -94,15 +94,20 @@
     def zone_router(self, router: ZoneRouter | None) -> None:
         self._runner.zone_router = router
 
-    def submit(self, request: IncomingRequest, sink: ResponseSink) -> Request:
-        """Accept a request; the sink gets exactly one answer, unless the request is abandoned."""
+    def submit(
+        self, request: IncomingRequest, sink: ResponseSink, client_has_left: Callable[[], bool] = lambda: False
+    ) -> Request:
+        """Accept a request; the sink gets exactly one answer, unless the request is abandoned.
+
+        No attempt starts once `client_has_left` returns true.
+        """
         # Clients may reuse request ids, by mistake or malice, so the policy gets ids assigned here.
         self._request_count += 1
         now = self.clock.now()
         # The client has waited since it sent the last byte, not since the request was read.
         budget_end_ms = now + request.budget_ms - self.unread_for_ms()
         margin_ms = min(ANSWER_MARGIN_MS, MAX_ANSWER_MARGIN_FRACTION * request.budget_ms)
-        accepted = Request(f"r{self._request_count}", request, sink, budget_end_ms - margin_ms)
+        accepted = Request(f"r{self._request_count}", request, sink, budget_end_ms - margin_ms, client_has_left)
         self.requests[accepted.request_id] = accepted
         self._answers.open_requests += 1
         self._deadlines.add(budget_end_ms + BACKSTOP_DELAY_MS, accepted.request_id)
@@ -173,6 +178,8 @@
         match action:
             case api.StartAttempt():
                 if (request := self.requests.get(action.request_id)) is not None:
+                    if not request.answered and request.client_has_left():
+                        self.abandon(request)
                     self._runner.start(request, action.engine_id, action.timeout_ms)
             case api.CancelAttempt():
                 request = self.requests.get(action.request_id)
--- a/decklb/core/ports.py
+++ b/decklb/core/ports.py
@@ -73,10 +73,13 @@
 class RequestHandler(Protocol):
     """Accepts requests from a front: the dispatcher, or a subsystem in front of it."""
 
-    def submit(self, request: IncomingRequest, sink: ResponseSink) -> Any:
+    def submit(
+        self, request: IncomingRequest, sink: ResponseSink, client_has_left: Callable[[], bool] = lambda: False
+    ) -> Any:
         """Accept a request and return a handle for the other methods.
 
-        The sink gets exactly one answer, unless the request is abandoned or cancelled.
+        The sink gets exactly one answer, unless the request is abandoned or cancelled. No attempt starts once
+        `client_has_left` returns true, except of a request that outlives its client.
         """
 
     def abandon(self, handle: Any) -> None:
--- a/decklb/handoff/protected_dispatcher.py
+++ b/decklb/handoff/protected_dispatcher.py
@@ -107,10 +107,15 @@
 
     # Calls from fronts.
 
-    def submit(self, request: IncomingRequest, sink: ResponseSink) -> Request | ProtectedRequest:
-        """Accept a request; its sink gets one answer, unless the request is abandoned or cancelled."""
+    def submit(
+        self, request: IncomingRequest, sink: ResponseSink, client_has_left: Callable[[], bool] = lambda: False
+    ) -> Request | ProtectedRequest:
+        """Accept a request; its sink gets one answer, unless the request is abandoned or cancelled.
+
+        A request without a key ends once `client_has_left` returns true.
+        """
         if not request.idempotency_key:
-            return self.dispatcher.submit(request, sink)
+            return self.dispatcher.submit(request, sink, client_has_left)
         generated = request.idempotency_key == GENERATED_KEY
         if generated:
             request.idempotency_key = self._generate_key()
--- a/decklb/net/client_connection.py
+++ b/decklb/net/client_connection.py
@@ -18,10 +18,12 @@
 from twisted.python.failure import Failure
 
 from decklb.core.attempts import Request
+from decklb.core.fair_turns import Turn
 from decklb.core.memory_account import REQUEST_OVERHEAD_BYTES, SMALL_MESSAGE_BYTES, HeldKind
 from decklb.net import frames
 from decklb.net.frames import FrameError, InvalidRequestError
-from decklb.wire.connection_end import has_unread_bytes
+from decklb.wire.connection_end import has_unread_bytes, peer_has_left
+from decklb.wire.reading_switch import PauseReason, ReadingSwitch
 
 if TYPE_CHECKING:
     from decklb.net.listener import FrameListener
@@ -29,6 +31,7 @@
 MAX_STREAMS = 32  # open requests on one connection
 MAX_UNSENT_BYTES = 32 * 52_000  # that one client may leave unread: the largest possible answers to its open requests
 MAX_INVALID_FRAMES = 8  # complete but invalid frames that are tolerated on one connection
+MAX_INVALID_REQUESTS = 1000  # requests with invalid fields, likewise
 
 
 class StreamSink:
@@ -68,11 +71,15 @@
         self.closing = False  # our side is shut down or the connection aborted: further input is discarded
         self.over_limit = False  # accepted beyond the limit: its requests are rejected
         self.reader = frames.FrameReader()
+        self.turn: Turn[ClientConnection] = Turn(self)
+        self._reading = ReadingSwitch()
+        self._received_at_ms = 0.0  # time of the last receipt
+        self._message_completed = False  # since the last turn began
         self._go_away_sent = False
-        self._reading_paused = False  # it does not read its answers, and memory is short
         self._end_reason = "client-closed"  # for the log
         self._accepted_requests = 0
-        self._invalid_frames = 0
+        self._invalid_frames = self._invalid_requests = 0
+        self._request_frames = self._late_cancels = 0
 
     def connectionMade(self) -> None:
         """Register the connection, and notify the client at once if the process is draining."""
@@ -91,9 +98,7 @@
         """Called by the transport when everything written has been sent."""
         if self.unsent_bytes:
             self._set_unsent(0)
-            if self._reading_paused:
-                self._reading_paused = False
-                self.transport.resumeProducing()
+            self._reading.resume(self.transport, PauseReason.MEMORY)
             self._request_ended()
 
     def stopProducing(self) -> None:
@@ -105,19 +110,37 @@
         """Handle received bytes: frames, split at any position."""
         if self.input_failed or self.closing:
             return
+        self._received_at_ms = self.listener.dispatcher.clock.now()
         self.reader.append(data)
-        message_completed = False
+        self.listener.turns.received(self)
+
+    def handle_next(self) -> bool:
+        """Handle one frame. See `decklb.wire.input_turns.InputConnection`."""
+        if self.input_failed or self.closing:
+            return False
         try:
-            while (frame := self.reader.next_frame()) is not None:
-                message_completed = True
-                self._report_received()
-                self._handle(frame)
-                if self.input_failed:
-                    return
-            self._report_partial()
+            frame = self.reader.next_frame()
         except FrameError as error:
             self.fail(error.reason)
+            return False
+        if frame is None:
+            return False
+        self._message_completed = True
+        self._report_received()
+        self._handle(frame)
+        return bool(self.reader.buffer)
+
+    def input_handled(self, waiting: bool) -> None:
+        """A turn is over: report what is held, and read on unless there is input that waits."""
+        if waiting:
+            self._report_received()
+            self._reading.pause(self.transport, PauseReason.TURN)
+            return
+        self._reading.resume(self.transport, PauseReason.TURN)
+        if self.input_failed or self.closing:
             return
+        message_completed, self._message_completed = self._message_completed, False
+        self._report_partial()
         self.listener.limits.update(self, message_completed)
         self._close_if_done()
 
@@ -139,6 +162,7 @@
 
     def _handle(self, frame: frames.Frame) -> None:
         if frame.type == frames.REQUEST:
+            self._request_frames += 1
             if frame.stream == 0 or frame.stream in self.requests:
                 # An answer on a stream in use would look like a second answer to its first request.
                 self._ignore_invalid("stream-in-use")
@@ -148,9 +172,8 @@
             else:
                 self._submit(frame)
         elif frame.type == frames.CANCEL:
-            if (request := self._release(frame.stream)) is not None:
-                self.listener.dispatcher.abandon(request)
-            self._request_ended()
+            if not self._cancel(frame.stream):
+                return
         elif frame.type == frames.READINESS_QUERY:
             self._write(frames.pack(frames.READINESS, frame.stream, bytes([self.listener.ready()]) + b"\0"))
         else:
@@ -158,6 +181,18 @@
             return
         self.has_sent_message = True
 
+    def _cancel(self, stream: int) -> bool:
+        """Cancel a request; returns whether the frame was valid: its answer may have crossed it."""
+        if (request := self._release(stream)) is not None:
+            self.listener.dispatcher.abandon(request)
+        elif self._late_cancels < self._request_frames:
+            self._late_cancels += 1
+        else:
+            self._ignore_invalid("unknown-stream")
+            return False
+        self._request_ended()
+        return True
+
     def _ignore_invalid(self, reason: str) -> None:
         """Ignore a complete but invalid frame; the open requests of the connection continue."""
         self._invalid_frames += 1
@@ -179,14 +214,18 @@
                 # Engines identify requests by these ids.
                 raise InvalidRequestError("rid is open with another statement")
         except InvalidRequestError as error:
+            self._invalid_requests += 1
             self.answer(stream, frames.FAILED, frames.error_fields(str(error)))
+            if self._invalid_requests > MAX_INVALID_REQUESTS:
+                self.fail("invalid-requests")
             return
-        if len(self.requests) > MAX_STREAMS or listener.draining or self.over_limit:
+        incoming.budget_ms -= listener.dispatcher.clock.now() - self._received_at_ms
+        if len(self.requests) > MAX_STREAMS or listener.draining or self.over_limit or incoming.budget_ms <= 0:
             self.answer(stream, frames.REJECTED, listener.overload_fields)
             return
         self._accepted_requests += 1
         incoming.charge = self.holder.charge_request(len(frame.payload))
-        request = listener.dispatcher.submit(incoming, StreamSink(self, stream))
+        request = listener.dispatcher.submit(incoming, StreamSink(self, stream), self.client_has_left)
         self.requests[stream] = listener.requests[incoming.client_request_id] = request
 
     def _reject_for_memory(self, stream: int) -> None:
@@ -203,8 +242,12 @@
         return request
 
     def has_unread_input(self) -> bool:
-        """Whether the socket has unread bytes from the client."""
-        return has_unread_bytes(self.transport)
+        """Whether received bytes are not handled, or the socket has unread bytes."""
+        return self.turn.waiting or has_unread_bytes(self.transport)
+
+    def client_has_left(self) -> bool:
+        """Whether the client has closed or reset the connection, which may not have been read yet."""
+        return peer_has_left(self.transport)
 
     # Writing.
 
@@ -224,9 +267,11 @@
         self._set_unsent(was_unsent + len(data))
         if self.unsent_bytes > MAX_UNSENT_BYTES:
             self.abort("slow-reader")
-        elif was_unsent and self.listener.account.under_pressure and not self._reading_paused:
-            self._reading_paused = True
-            self.transport.pauseProducing()
+        elif was_unsent and self.listener.account.under_pressure:
+            self._pause_reading_for_memory()
+
+    def _pause_reading_for_memory(self) -> None:
+        if self._reading.pause(self.transport, PauseReason.MEMORY):
             self.listener.memory_log.reading_paused(self.holder)
 
     def _set_unsent(self, unsent_bytes: int) -> None:
@@ -309,6 +354,7 @@
 
     def connectionLost(self, reason: Failure | None = None) -> None:
         """Unregister the connection and abandon its open requests."""
+        self.closing = True
         self.listener.limits.remove(self)
         self._drop_input()
         self._set_unsent(0)
--- a/decklb/net/engine_connection.py
+++ b/decklb/net/engine_connection.py
@@ -89,9 +89,7 @@
     def _send(self, call: RespCall) -> None:
         attempt, now = call.attempt, self.pool.client.clock.now()
         if now > attempt.start_deadline_ms:  # it waited too long: its engine drains, or it may no longer be repeated
-            self._remove_call(call)
-            self._schedule_idle_close()
-            attempt.end(Outcome.NEVER_SENT)
+            self._end_unsent(call)
             return
         request = attempt.request.incoming
         fields = {
@@ -103,6 +101,11 @@
         call.sent = attempt.sent = True
         self._write(resp.pack(protocol.START, call.request_id, resp.pack_fields(fields), request.statement))
 
+    def _end_unsent(self, call: RespCall) -> None:
+        self._remove_call(call)
+        self._schedule_idle_close()
+        call.attempt.end(Outcome.NEVER_SENT)
+
     # Writing. The transport calls `resumeProducing` each time that it has sent everything.
 
     @property
@@ -152,7 +155,10 @@
         for call in [call for call in self.calls.values() if not call.sent]:
             if self.write_blocked:
                 return
-            self._send(call)
+            if call.attempt.request.client_has_left():
+                self._end_unsent(call)
+            else:
+                self._send(call)
 
     def stopProducing(self) -> None:
         """Called by the transport when the connection ends."""
--- a/decklb/net/listener.py
+++ b/decklb/net/listener.py
@@ -17,6 +17,7 @@
 from decklb.net import frames
 from decklb.net.client_connection import ClientConnection
 from decklb.net.connection_limits import ConnectionLimits
+from decklb.wire.input_turns import InputTurns
 from decklb.wire.memory_log import MemoryLog
 from decklb.wire.partial_messages import PartialMessages
 
@@ -49,6 +50,7 @@
         self.dispatcher, self.ready, self.account = dispatcher, ready, account
         self.limits = ConnectionLimits(dispatcher.clock, max_clients, spare_clients)
         self.partial_messages = PartialMessages(account)
+        self.turns = InputTurns(dispatcher.clock)
         self.memory_log = MemoryLog(dispatcher.clock)
         settings = dispatcher.settings
         retry_after_ms = min(OVERLOAD_RETRY_AFTER_MS, settings.max_retry_after_ms) if settings.retry_after else 0.0
--- a/decklb/pg/connection.py
+++ b/decklb/pg/connection.py
@@ -17,6 +17,7 @@
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
+from decklb.core.fair_turns import Turn
 from decklb.core.memory_account import SMALL_MESSAGE_BYTES, HeldKind, MemoryAccount
 from decklb.core.ports import Clock, RequestHandler, Timer
 from decklb.pg import messages as pg
@@ -38,8 +39,11 @@
     startup_reply,
 )
 from decklb.wire.client_timeouts import FIRST_MESSAGE_TIMEOUT_MS, LINGERING_CLOSE_TIMEOUT_MS, PARTIAL_MESSAGE_TIMEOUT_MS
+from decklb.wire.connection_end import peer_has_left
+from decklb.wire.input_turns import InputTurns
 from decklb.wire.memory_log import MemoryLog
 from decklb.wire.partial_messages import PartialMessages
+from decklb.wire.reading_switch import PauseReason, ReadingSwitch
 
 MAX_PENDING_BYTES = 1 << 20  # total size of the messages that wait while a statement runs
 PENDING_OVERHEAD_BYTES = 300  # of the records of a message that waits
@@ -59,6 +63,7 @@
         account: The memory that connections hold.
         partial_messages: The large messages in progress.
         memory_log: Logs what was rejected or paused because memory is short.
+        turns: In which the input of all connections is handled.
     """
 
     session_context: SessionContext
@@ -68,6 +73,7 @@
     account: MemoryAccount
     partial_messages: PartialMessages
     memory_log: MemoryLog
+    turns: InputTurns
 
 
 class ClientConnection(Protocol):
@@ -83,7 +89,9 @@
         self.write_paused = False  # the client is not reading its data
         self._reader = pg.MessageReader(context.session_context.postgres.max_message_bytes, startup=True)
         self._holder = context.account.holder("session")
-        self._reading_paused = False  # memory is short, and messages of it wait
+        self.turn: Turn[ClientConnection] = Turn(self)
+        self._reading = ReadingSwitch()
+        self._message_completed = False  # since the last turn began
         self._pending: deque[pg.Message] = deque()
         self._pending_bytes = 0
         self._unread_bytes = 0  # written since the client stopped reading
@@ -107,25 +115,48 @@
         """Handle a chunk of the byte stream, which may contain any part of a message."""
         if self._closed:  # read and discarded: closing with unread bytes would send a reset
             return
-        any_complete = False
+        self._reader.append(data)
+        self._context.turns.received(self)
+
+    def handle_next(self) -> bool:
+        """Handle one message. See `decklb.wire.input_turns.InputConnection`."""
+        if self._closed:
+            return False
         try:
-            for message in self._reader.feed(data):
-                any_complete = True
-                if self._closed:
-                    return
+            if self._can_handle_pending:
+                self._handle_pending()
+            else:
+                message = self._reader.next_message()
+                if message is None:
+                    return False
+                self._message_completed = True
                 if self._reader.startup:
                     self._receive_startup(message)
                 else:
                     self._add_pending(message)
-            self._handle_pending()
+        except PgError as error:
+            self._end_with_error(error)
+        return not self._closed and bool(self._can_handle_pending or self._reader.has_partial)
+
+    def input_handled(self, waiting: bool) -> None:
+        """A turn is over: report what is held, and read on unless there is input that waits."""
+        if waiting:
+            self._report_received()
+            self._reading.pause(self.transport, PauseReason.TURN)
+            return
+        self._reading.resume(self.transport, PauseReason.TURN)
+        if self._closed:
+            return
+        try:
             self._report_partial()
         except PgError as error:
             return self._end_with_error(error)
-        if self._session is None or self._closed:
+        message_completed, self._message_completed = self._message_completed, False
+        if self._session is None:
             return
         if not self._reader.has_partial:
             self._cancel_timer()
-        elif any_complete or self._timer is None:
+        elif message_completed or self._timer is None:
             self._start_timer(PARTIAL_MESSAGE_TIMEOUT_MS, self._message_timed_out)
 
     def _add_pending(self, message: pg.Message) -> None:
@@ -135,6 +166,9 @@
             self._context.memory_log.request_rejected(self._holder)
         self._pending.append(message)
         self._pending_bytes += len(message.raw) + PENDING_OVERHEAD_BYTES
+        # Reading continues up to this limit, since a disconnect is only noticed by reading.
+        if self._pending_bytes - len(message.raw) > MAX_PENDING_BYTES:
+            raise PgError(sqlstate.PROGRAM_LIMIT_EXCEEDED, "too many messages at once", fatal=True)
 
     def _next_pending(self) -> pg.Message:
         message = self._pending.popleft()
@@ -148,15 +182,15 @@
     def _report_partial(self) -> None:
         """Report what waits and the message in progress; a large one may be given up if memory is short."""
         self._report_received()
-        if self._closed:
-            return
         if self._reader.partial_size() > SMALL_MESSAGE_BYTES:
             self._context.partial_messages.progressed(self, self._context.clock.now())
         else:
             self._context.partial_messages.remove(self)
-        if self._pending and self._context.account.under_pressure and not self._reading_paused:
-            self._reading_paused = True
-            self.transport.pauseProducing()
+        if self._pending and self._context.account.under_pressure:
+            self._pause_reading_for_memory()
+
+    def _pause_reading_for_memory(self) -> None:
+        if self._reading.pause(self.transport, PauseReason.MEMORY):
             self._context.memory_log.reading_paused(self._holder)
 
     def discard_partial(self) -> None:
@@ -183,24 +217,24 @@
         self._backend_key = self._registry.register_session(self)
         self.write(startup_reply(startup, self._backend_key))
 
+    @property
+    def _can_handle_pending(self) -> bool:
+        """Whether a message waits and may be handled: they wait while an engine runs a statement."""
+        return bool(self._pending) and self._running is None and not (self.write_paused or self._closed)
+
     def _handle_pending(self) -> None:
-        """Handle messages one at a time; further messages wait while an engine runs a statement."""
-        while self._pending and self._running is None and not (self.write_paused or self._closed):
-            message = self._next_pending()
-            assert self._session is not None
-            try:
-                self._session.receive(message)
-            except PgError as error:
-                if error.fatal:
-                    return self._end_with_error(error)
-                self._session.report_error(error)
+        """Handle the message that has waited longest."""
+        message = self._next_pending()
+        assert self._session is not None
+        try:
+            self._session.receive(message)
+        except PgError as error:
+            if error.fatal:
+                raise
+            self._session.report_error(error)
         self._report_received()
-        if self._reading_paused and not self._pending:
-            self._reading_paused = False
-            self.transport.resumeProducing()
-        # Reading continues up to this limit, since a disconnect is only noticed by reading.
-        if self._pending_bytes > MAX_PENDING_BYTES:
-            self._end_with_error(PgError(sqlstate.PROGRAM_LIMIT_EXCEEDED, "too many messages at once", fatal=True))
+        if not self._pending:
+            self._reading.resume(self.transport, PauseReason.MEMORY)
 
     # Implementation of `SessionOutput`, which the session calls.
 
@@ -220,10 +254,14 @@
         deadline_ms = self.now_ms() + request.budget_ms
         statement = RunningStatement(self, deadline_ms, on_result, has_idempotency_key=bool(idempotency_key))
         self._running = statement
-        statement.handle = self._context.request_handler.submit(request, statement)
+        statement.handle = self._context.request_handler.submit(request, statement, self.client_has_left)
         if request.idempotency_key != idempotency_key:  # the handoff has generated a key: tell the client
             self.write(pg.pack_parameter_status(IDEMPOTENCY_KEY_PARAMETER, request.idempotency_key))
 
+    def client_has_left(self) -> bool:
+        """Whether the client has closed or reset the connection, which may not have been read yet."""
+        return peer_has_left(self.transport)
+
     def requeue(self, message: pg.Message) -> None:
         """Handle this message again before any other."""
         self._pending.appendleft(message)
@@ -250,7 +288,7 @@
         if not self._closed:
             send_answer()
             self.end_if_draining()
-            self._handle_pending()
+            self._context.turns.received(self)
 
     def report_error(self, error: PgError) -> None:
         """Send a non-fatal error."""
@@ -279,7 +317,7 @@
         """All written data has been sent: continue."""
         self.write_paused = False
         self._set_unread(0)
-        self._handle_pending()
+        self._context.turns.received(self)
 
     def stopProducing(self) -> None:
         """The connection is closing; `connectionLost` does the cleanup."""
--- a/decklb/pg/listener.py
+++ b/decklb/pg/listener.py
@@ -16,6 +16,7 @@
 from decklb.pg.connection_registry import ConnectionRegistry
 from decklb.pg.session import SessionContext
 from decklb.pg.settings import PgSettings
+from decklb.wire.input_turns import InputTurns
 from decklb.wire.memory_log import MemoryLog
 from decklb.wire.partial_messages import PartialMessages
 
@@ -48,6 +49,7 @@
             account,
             PartialMessages(account),
             MemoryLog(dispatcher.clock),
+            InputTurns(dispatcher.clock),
         )
 
     def enable_handoff(self, request_handler: RequestHandler) -> None:
--- a/decklb/wire/connection_end.py
+++ b/decklb/wire/connection_end.py
@@ -1,10 +1,11 @@
-"""Helpers for the end of a TCP connection: whether it has unread bytes, and the reason code of its end.
+"""Helpers for the end of a TCP connection: unread bytes, whether the peer has left, and the reason code of its end.
 
 Stateless. Used by both listeners and by the engine connections.
 """
 
 from __future__ import annotations
 
+import select
 import socket
 from errno import EAGAIN
 from typing import Any
@@ -26,6 +27,16 @@
         return error.errno in RETRYABLE_ERRNOS and error.errno != EAGAIN
 
 
+def peer_has_left(transport: Any) -> bool:
+    """Whether the peer has closed or reset the connection, even if bytes that it sent before are unread."""
+    poller = select.poll()
+    try:
+        poller.register(transport.getHandle(), select.POLLRDHUP)  # errors and resets are always reported
+        return bool(poller.poll(0))
+    except (OSError, ValueError):  # a shortage, or a socket that is closed already and whose end is noticed otherwise
+        return False
+
+
 def end_reason(reason: Failure | None) -> str:
     """Return the reason code, for the log, of a connection that was ended by the peer or the network."""
     if reason is None or reason.type is None or reason.type is ConnectionDone:
--- a/tests/exchanges.py
+++ b/tests/exchanges.py
@@ -32,7 +32,7 @@
 from decklb.pg.settings import PgSettings
 from decklb.settings import parse_settings
 from decklb.wire.health_check import HealthChecker
-from tests.standins import SETTINGS
+from tests.standins import OPEN_SOCKETS, SETTINGS
 
 POSTGRES_SETTINGS = {"user": "u", "database": "db", "connections": 2, "most_result": 200}
 # Names of the outcomes in the recorded exchanges.
@@ -199,6 +199,9 @@
     def __init__(self, record, number):
         self.record, self.number, self.unread = record, number, False
 
+    def fileno(self):
+        return OPEN_SOCKETS[0].fileno()
+
     def recv(self, size, flags):
         if self.unread:
             return b"x"
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -7,6 +7,7 @@
 import os
 import re
 import signal
+import socket
 import struct
 import subprocess
 import sys
@@ -18,6 +19,7 @@
 from decklb.net import resp
 
 ROOT = Path(__file__).parent.parent
+OPEN_SOCKETS = socket.socketpair()  # for doubles that need a descriptor whose peer has not left
 DEADLINE = 20.0  # seconds after which a waiting test fails; no test uses it to check how long something takes
 
 SETTINGS = {
--- a/tests/test_memory_pressure.py
+++ b/tests/test_memory_pressure.py
@@ -19,7 +19,7 @@
 from decklb.settings import parse_settings
 from decklb.wire.partial_messages import STALLED_AFTER_MS, PartialMessages
 from tests.frame_standins import request
-from tests.standins import SETTINGS
+from tests.standins import OPEN_SOCKETS, SETTINGS
 
 LIMIT = 200_000
 LARGE = 100_000
@@ -41,6 +41,9 @@
     def recv(self, size, flags):
         raise BlockingIOError(11, "nothing")
 
+    def fileno(self):
+        return OPEN_SOCKETS[0].fileno()
+
     def pauseProducing(self):
         self.reading = False
 
--- a/tests/test_pg_wire_format.py
+++ b/tests/test_pg_wire_format.py
@@ -169,7 +169,7 @@
     def __init__(self, events):
         self.events, self.sinks = events, []
 
-    def submit(self, request, sink):
+    def submit(self, request, sink, client_has_left):
         self.events.append(["submit", request_fields(request)])
         self.sinks.append(sink)
         if request.idempotency_key == "auto":
