Turns: receiving a part of a large message costs its connection a turn

Cause: connections in the middle of large messages were read once in every pass, hundreds of them before any other work; only handling was within the budget.

--- a/decklb/net/client_connection.py
+++ b/decklb/net/client_connection.py
@@ -130,6 +130,11 @@
         self._handle(frame)
         return bool(self.reader.buffer)
 
+    @property
+    def is_receiving_large(self) -> bool:
+        """Whether it is in the middle of a large message."""
+        return self.reader.is_receiving_large
+
     def input_handled(self, waiting: bool) -> None:
         """A turn is over: report what is held, and read on unless there is input that waits."""
         if waiting:
--- a/decklb/net/frames.py
+++ b/decklb/net/frames.py
@@ -31,6 +31,7 @@
 MIN_LENGTH = 5  # smallest value of a frame's length: type and stream
 MAX_LENGTH = 262_144  # largest value of a frame's length
 HEADER = struct.Struct(">IBI")  # length, type, stream
+RECEIVED_AT_ONCE_BYTES = 8192  # a part of a frame of at least this size is not the start of a usual request
 LENGTH_SIZE = 4  # bytes of the length itself, which are not counted in it
 MAX_BUDGET_MS = 3_600_000
 REQUEST_ID = re.compile(r"[0-9a-f]{16}")
@@ -116,6 +117,11 @@
         """Whether a frame has begun that was not returned yet."""
         return bool(self.buffer) or self._discarding is not None
 
+    @property
+    def is_receiving_large(self) -> bool:
+        """Whether the incomplete frame has more bytes than are received at once."""
+        return len(self.buffer) >= RECEIVED_AT_ONCE_BYTES or self._discarding is not None
+
     def partial_size(self) -> int:
         """Return the size in bytes that the incomplete frame in the buffer will have; 0 while it is not known."""
         return self._frame_size() if len(self.buffer) >= HEADER.size else 0
--- a/decklb/pg/connection.py
+++ b/decklb/pg/connection.py
@@ -138,6 +138,11 @@
             self._end_with_error(error)
         return not self._closed and bool(self._can_handle_pending or self._reader.has_partial)
 
+    @property
+    def is_receiving_large(self) -> bool:
+        """Whether it is in the middle of a large message."""
+        return self._reader.is_receiving_large
+
     def input_handled(self, waiting: bool) -> None:
         """A turn is over: report what is held, and read on unless there is input that waits."""
         if waiting:
--- a/decklb/pg/messages.py
+++ b/decklb/pg/messages.py
@@ -22,6 +22,7 @@
 SSL_REQUEST_CODE = 80_877_103
 GSSENC_REQUEST_CODE = 80_877_104
 
+RECEIVED_AT_ONCE_BYTES = 8192  # a part of a message of at least this size is not the start of a usual one
 LENGTH_SIZE = 4  # size of the length field in bytes; the length includes this field but not the type octet
 MAX_STARTUP_SIZE = 10_000  # bytes; PostgreSQL's limit (MAX_STARTUP_PACKET_LENGTH)
 
@@ -170,6 +171,11 @@
         """Whether a message has begun that was not returned yet."""
         return bool(self.buffer) or self._discarding is not None
 
+    @property
+    def is_receiving_large(self) -> bool:
+        """Whether the incomplete message has more bytes than are received at once."""
+        return len(self.buffer) >= RECEIVED_AT_ONCE_BYTES or self._discarding is not None
+
     def discard_partial(self) -> None:
         """Drop the incomplete message, whose size is known, and what is still to come of it.
 
--- a/decklb/wire/input_turns.py
+++ b/decklb/wire/input_turns.py
@@ -13,9 +13,11 @@
 from decklb.core.ports import Clock
 
 # ms of a pass that input is handled. What a message causes at the policy and at engines takes about as long again.
-PASS_BUDGET_MS = 3.0
+PASS_BUDGET_MS = 1.5
 # ms after which a new pass is assumed while no connection waits.
 PASS_LENGTH_MS = 6.0
+# Cost in ms of receiving a part of a large message, which is not measured.
+PART_COST_MS = 0.15
 # Smallest cost of a message in ms, for clocks that do not resolve it.
 MIN_COST_MS = 0.01
 
@@ -25,6 +27,10 @@
 
     turn: Turn[Any]
 
+    @property
+    def is_receiving_large(self) -> bool:
+        """Whether it is in the middle of a large message."""
+
     def handle_next(self) -> bool:
         """Handle one message; returns whether there may be another."""
 
@@ -74,6 +80,8 @@
         more = connection.handle_next()
         now = self._clock.now()
         cost = max(MIN_COST_MS, now - began_ms)
+        if not more and connection.is_receiving_large:
+            cost += PART_COST_MS
         self._spent_ms += cost
         self._turns.end(connection.turn, cost)
         connection.turn.start = connection.turn.finish
