--- a/decklb/core/fair_turns.py
+++ b/decklb/core/fair_turns.py
@@ -18,12 +18,13 @@
 class Turn(Generic[OwnerT]):
     """The turns of one connection."""
 
-    __slots__ = ("owner", "waiting", "start", "finish")
+    __slots__ = ("owner", "waiting", "start", "finish", "message_number")
 
     def __init__(self, owner: OwnerT) -> None:
         self.owner = owner
         self.waiting = False  # in the queue
         self.start = self.finish = 0.0  # of the current turn, in virtual time
+        self.message_number = 0  # of the large message that is being received; 0: none
 
 
 class FairTurns(Generic[OwnerT]):
--- a/decklb/daemon/service.py
+++ b/decklb/daemon/service.py
@@ -19,8 +19,10 @@
 from decklb.daemon.endpoint_updates import EndpointUpdates
 from decklb.daemon.gc_tuning import IdleGarbageCollector
 from decklb.daemon.lifecycle import Lifecycle, LifecycleState
+from decklb.daemon.memory_allocator import return_large_buffers
 from decklb.daemon.readiness import Readiness
 from decklb.daemon.reload import Reload
+from decklb.daemon.resource_monitor import ResourceMonitor
 from decklb.daemon.signals import install_signal_handlers
 from decklb.daemon.subsystems.base import SubsystemContext
 from decklb.interface import Outcome
@@ -158,5 +160,7 @@
             },
         )
         self.start()
+        return_large_buffers()
+        ResourceMonitor(self._clock, self._request_path.account, self._request_path.front.turns).start()
         IdleGarbageCollector(self._clock, lambda: not self._request_path.dispatcher.open_requests).start()
         self._reactor.run(installSignalHandlers=False)
--- a/decklb/net/engine_connection.py
+++ b/decklb/net/engine_connection.py
@@ -32,7 +32,7 @@
 # a stall of this process does not count.
 MAX_STALLED_SWEEPS = 6
 WRITE_BLOCKED_LIMIT_MS = 20.0  # time for which bytes may stay unsent before further requests are held back
-MAX_UNSENT_BYTES = 131_072  # unsent bytes at which further requests are held back: a copy of each would be kept
+MAX_UNSENT_BYTES = 131_072  # unsent bytes above which large requests are held back: a copy of each would be kept
 
 
 class RespConnection(EngineConnection):
@@ -73,7 +73,7 @@
         """Send the attempt, now or when the connection is ready."""
         self.calls[call.request_id] = call
         self._schedule_idle_close()
-        if self.connected and not self.write_blocked:
+        if self.connected and self._may_send(call):
             self._send(call)
 
     def cancel(self, call: RespCall) -> None:
@@ -112,9 +112,11 @@
     def write_blocked(self) -> bool:
         """Whether the engine does not read its input; a request sent now would start at an unknown time."""
         since = self._write_blocked_since
-        return since is not None and (
-            self._unsent_bytes > MAX_UNSENT_BYTES or self.pool.client.clock.now() - since > WRITE_BLOCKED_LIMIT_MS
-        )
+        return since is not None and self.pool.client.clock.now() - since > WRITE_BLOCKED_LIMIT_MS
+
+    def _may_send(self, call: RespCall) -> bool:
+        """Whether a request may be sent now; a large one waits until little is unsent, and small ones pass it."""
+        return not self.write_blocked and (not call.is_large or self._unsent_bytes <= MAX_UNSENT_BYTES)
 
     def _write(self, data: bytes) -> None:
         if self._write_blocked_since is None:
@@ -152,8 +154,9 @@
 
     def _send_waiting(self) -> None:
         """Send the attempts that waited for the connection or for the engine to resume reading."""
-        for call in [call for call in self.calls.values() if not call.sent]:
-            if self.write_blocked:
+        waiting = [call for call in self.calls.values() if not call.sent]
+        for call in sorted(waiting, key=lambda call: call.is_large):
+            if not self._may_send(call):
                 return
             if call.attempt.request.client_has_left():
                 self._end_unsent(call)
--- a/decklb/net/frames.py
+++ b/decklb/net/frames.py
@@ -119,8 +119,13 @@
 
     @property
     def is_receiving_large(self) -> bool:
-        """Whether the incomplete frame has more bytes than are received at once."""
-        return len(self.buffer) >= RECEIVED_AT_ONCE_BYTES or self._discarding is not None
+        """Whether the frame in the buffer is incomplete, and larger than what is received at once."""
+        if self._discarding is not None:
+            return self._bytes_to_discard > 0
+        if len(self.buffer) < RECEIVED_AT_ONCE_BYTES:
+            return False
+        length = int.from_bytes(self.buffer[:LENGTH_SIZE], "big")
+        return len(self.buffer) < LENGTH_SIZE + min(length, MAX_LENGTH)
 
     def partial_size(self) -> int:
         """Return the size in bytes that the incomplete frame in the buffer will have; 0 while it is not known."""
--- a/decklb/net/resp_call.py
+++ b/decklb/net/resp_call.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from decklb.core.attempts import Attempt
+from decklb.core.memory_account import SMALL_MESSAGE_BYTES
 from decklb.net.resp import RespError
 
 if TYPE_CHECKING:
@@ -36,6 +37,11 @@
         """The request id of the client, which is sent to the engine unchanged."""
         return self.attempt.request.incoming.client_request_id.encode()
 
+    @property
+    def is_large(self) -> bool:
+        """Whether its statement is large."""
+        return len(self.attempt.request.incoming.statement) > SMALL_MESSAGE_BYTES
+
     def begin_result(self, page_count: int, first_page: bytes) -> None:
         """Add the first page. Raises RespError as `add_page` does."""
         self.pages = [None] * page_count
--- a/decklb/pg/listener.py
+++ b/decklb/pg/listener.py
@@ -52,6 +52,11 @@
             InputTurns(dispatcher.clock),
         )
 
+    @property
+    def turns(self) -> InputTurns:
+        """The turns in which the input of all connections is handled."""
+        return self.context.turns
+
     def enable_handoff(self, request_handler: RequestHandler) -> None:
         """Submit statements to a request handler that retains answers for clients that ask again."""
         self.context.request_handler = request_handler
--- a/decklb/pg/messages.py
+++ b/decklb/pg/messages.py
@@ -173,8 +173,13 @@
 
     @property
     def is_receiving_large(self) -> bool:
-        """Whether the incomplete message has more bytes than are received at once."""
-        return len(self.buffer) >= RECEIVED_AT_ONCE_BYTES or self._discarding is not None
+        """Whether the message in the buffer is incomplete, and larger than what is received at once."""
+        if self._discarding is not None:
+            return self._bytes_to_discard > 0
+        if self.startup or len(self.buffer) < RECEIVED_AT_ONCE_BYTES:
+            return False
+        length = int.from_bytes(self.buffer[self._type_size : self._type_size + LENGTH_SIZE], "big")
+        return len(self.buffer) < self._type_size + min(length, self.max_message_size)
 
     def discard_partial(self) -> None:
         """Drop the incomplete message, whose size is known, and what is still to come of it.
--- a/decklb/wire/input_turns.py
+++ b/decklb/wire/input_turns.py
@@ -1,23 +1,25 @@
 """Handles the input of client connections in turns, so that none keeps the others waiting.
 
 Input is handled at once within the budget of a pass of the reactor. What is beyond it waits: its connection is not read
-any further, and the connections that wait get turns of one message each, in the order of `decklb.core.fair_turns`, in
-the next passes. Owned by a listener.
+any further. In the next passes the connections that wait get turns of one message each, in the order of
+`decklb.core.fair_turns`. The parts of large messages have a budget of their own, in which those that began first are
+read first: read in equal shares, all of them would be complete late. Owned by a listener.
 """
 
 from __future__ import annotations
 
+from heapq import heappop, heappush
 from typing import Any, Protocol
 
 from decklb.core.fair_turns import FairTurns, Turn
 from decklb.core.ports import Clock
 
-# ms of a pass that input is handled. What a message causes at the policy and at engines takes about as long again.
+# ms of a pass in which messages are handled. What they cause at the policy and at engines takes longer.
 PASS_BUDGET_MS = 1.5
+# Parts of large messages, of up to 64 KB each, that are received in a pass.
+PARTS_PER_PASS = 12
 # ms after which a new pass is assumed while no connection waits.
 PASS_LENGTH_MS = 6.0
-# Cost in ms of receiving a part of a large message, which is not measured.
-PART_COST_MS = 0.15
 # Smallest cost of a message in ms, for clocks that do not resolve it.
 MIN_COST_MS = 0.01
 
@@ -35,7 +37,7 @@
         """Handle one message; returns whether there may be another."""
 
     def input_handled(self, waiting: bool) -> None:
-        """The turn is over; `waiting`: there is more input, and another turn will follow."""
+        """The turn is over; `waiting`: another will follow, and until then the connection is not read."""
 
 
 class InputTurns:
@@ -49,8 +51,12 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._turns: FairTurns[InputConnection] = FairTurns()
+        # Connections in the middle of large messages that wait to be read, by the number of the message.
+        self._receiving: list[tuple[int, Turn[InputConnection]]] = []
+        self._message_count = 0  # large messages so far
         self._pass_began_ms = clock.now()
         self._spent_ms = 0.0  # of the budget of this pass
+        self._parts = 0  # received in this pass
         self._scheduled = False
         self.cut_short = 0
         self.longest_pass_ms = 0.0
@@ -62,6 +68,9 @@
         now = self._clock.now()
         if not self._scheduled and now - self._pass_began_ms >= PASS_LENGTH_MS:
             self._begin_pass(now)
+        if connection.turn.message_number and connection.is_receiving_large:
+            self._part_received(connection)
+            return
         if self._spent_ms >= PASS_BUDGET_MS:
             self._wait(connection)
             return
@@ -73,15 +82,13 @@
 
     def _begin_pass(self, now: float) -> None:
         self.longest_pass_ms = max(self.longest_pass_ms, self._spent_ms)
-        self._pass_began_ms, self._spent_ms = now, 0.0
+        self._pass_began_ms, self._spent_ms, self._parts = now, 0.0, 0
 
     def _handle_next(self, connection: InputConnection, began_ms: float) -> tuple[bool, float]:
         """Handle one message; returns whether there may be another, and the time in ms."""
         more = connection.handle_next()
         now = self._clock.now()
         cost = max(MIN_COST_MS, now - began_ms)
-        if not more and connection.is_receiving_large:
-            cost += PART_COST_MS
         self._spent_ms += cost
         self._turns.end(connection.turn, cost)
         connection.turn.start = connection.turn.finish
@@ -90,12 +97,32 @@
     def _end_turn(self, connection: InputConnection, more: bool) -> None:
         if more:
             self._wait(connection)
+        elif connection.is_receiving_large:
+            self._part_received(connection)
         else:
+            connection.turn.message_number = 0
+            connection.input_handled(waiting=False)
+
+    def _part_received(self, connection: InputConnection) -> None:
+        """A part of a large message was received: read on, or when it is its turn."""
+        turn = connection.turn
+        if not turn.message_number:
+            self._message_count += 1
+            turn.message_number = self._message_count
+        self._parts += 1
+        if self._parts <= PARTS_PER_PASS:
             connection.input_handled(waiting=False)
+            return
+        turn.waiting = True
+        heappush(self._receiving, (turn.message_number, turn))
+        self._pause(connection)
 
     def _wait(self, connection: InputConnection) -> None:
-        self.cut_short += 1
         self._turns.add(connection.turn)
+        self._pause(connection)
+
+    def _pause(self, connection: InputConnection) -> None:
+        self.cut_short += 1
         connection.input_handled(waiting=True)
         self._schedule()
 
@@ -111,10 +138,11 @@
         while self._turns and self._spent_ms < PASS_BUDGET_MS:
             turn = self._turns.next()
             more, now = self._handle_next(turn.owner, now)
-            if more:
-                self._turns.add(turn)
-            else:
-                turn.owner.input_handled(waiting=False)
+            self._end_turn(turn.owner, more)
+        for _ in range(min(PARTS_PER_PASS, len(self._receiving))):
+            _, turn = heappop(self._receiving)
+            turn.waiting = False
+            turn.owner.input_handled(waiting=False)
         self._scheduled = False
-        if self._turns:
+        if self._turns or self._receiving:
             self._schedule()
