Policy: tables keyed by table groups and unlisted tenants are bounded

Cause: EngineRegistry.order and Engine.hashes, WeightedRoundRobin.queues had no bound.

Change: 40,000 hashes of all engines together (64 groups at least), the oldest group evicted first; 16 unlisted tenants, further ones share a queue.

--- a/decklb/policy/engines.py
+++ b/decklb/policy/engines.py
@@ -12,6 +12,9 @@
 from decklb.policy.constants import LONG_AGO
 from decklb.policy.records import Engine
 
+MAX_CACHED_HASHES = 40_000  # rendezvous hashes of all engines that are kept
+MIN_CACHED_GROUPS = 64  # table groups whose hashes are kept, however many engines there are
+
 
 class EngineRegistry:
     """All known engines.
@@ -26,6 +29,7 @@
         self.by_short_id: dict[int, Engine] = {}
         self._up: list[Engine] = []
         self._orders: dict[int, list[Engine]] = {}  # engines that are up, by table group
+        self._cached_groups: dict[int, None] = {}  # table groups with cached hashes, oldest first
 
     def up(self) -> list[Engine]:
         """Return the engines whose phase in the endpoint list is `UP`."""
@@ -64,6 +68,7 @@
     def order(self, table_group: int) -> list[Engine]:
         """Return the engines that are up, in hash order of the table group but preferred engines first."""
         if table_group not in self._orders:
+            self._limit_cache(table_group)
             self._orders[table_group] = sorted(
                 self._up,
                 key=lambda engine: (
@@ -73,3 +78,14 @@
                 ),
             )
         return self._orders[table_group]
+
+    def _limit_cache(self, table_group: int) -> None:
+        """Make room for the hashes of a table group: clients choose the groups that their statements name."""
+        self._cached_groups.setdefault(table_group)
+        max_groups = max(MIN_CACHED_GROUPS, MAX_CACHED_HASHES // max(1, len(self._up)))
+        while len(self._cached_groups) > max_groups:
+            evicted = next(iter(self._cached_groups))
+            del self._cached_groups[evicted]
+            self._orders.pop(evicted, None)
+            for engine in self.by_id.values():
+                engine.hashes.pop(evicted, None)
--- a/decklb/policy/queueing.py
+++ b/decklb/policy/queueing.py
@@ -16,6 +16,8 @@
 from decklb.policy.records import Request
 from decklb.policy.tenants import Tenant
 
+MAX_UNLISTED_TENANTS = 16  # tenants with a queue of their own that the settings do not list
+OTHER_TENANTS = ""  # name of the tenant that stands for all further ones
 MIN_WEIGHT = 1e-6  # lower bound of a tenant's weight in a turn, which keeps the virtual time finite
 
 
@@ -57,8 +59,11 @@
     def tenant(self, name: str) -> Tenant:
         """Return the tenant of that name.
 
-        A tenant that is not listed in the settings has no share and starts with an even weight.
+        A tenant that is not listed in the settings has no share and starts with an even weight. Beyond
+        MAX_UNLISTED_TENANTS they are one tenant, since clients choose their names.
         """
+        if name not in self.queues and len(self.queues) >= self._listed_count + MAX_UNLISTED_TENANTS:
+            name = OTHER_TENANTS
         if name not in self.queues:
             index = len(self.queues)
             self.queues[name] = TenantQueue(Tenant(TenantSpec(name, 0.0), index, 1.0 / (index + 1)))
