Laboratory: a seeded soak of crowds, series of signals and faults of engines

'decklb lab soak' plays one or more managers per seed: drawn crowds, SIGKILL 0.72 s after a start, SIGTERM twice, SIGHUP in a drain, SIGKILL at the longest deadline plus 0.7 s while clients go on using their connections, engines that drop connections or are replaced at their address. It checks resident memory sampled every 20 ms, exits, log errors, second and lost answers, attempts after a leave, overlaps. Its own delay is told and subtracted nowhere.

--- a/decklb/cli/lab/__init__.py
+++ b/decklb/cli/lab/__init__.py
@@ -35,6 +35,7 @@
     fault_injection.cuts,
     fault_injection.ramp,
     crowds.crowds,
+    crowds.soak,
 ):
     lab.add_command(command)
 
--- a/decklb/cli/lab/crowds.py
+++ b/decklb/cli/lab/crowds.py
@@ -9,6 +9,35 @@
 from decklb import log
 
 
+@click.command()
+@click.option("--first", default=1, show_default=True, help="First seed.")
+@click.option("--seeds", default=10, show_default=True, type=click.IntRange(1, 1000), help="Number of seeds.")
+@click.option("--seconds", default=8.0, show_default=True, help="Length of a run.")
+@click.option("--managers", default=1, show_default=True, type=click.IntRange(1, 5), help="Managers of each run.")
+@click.option(
+    "--program",
+    type=click.Path(exists=True, file_okay=False, path_type=Path),
+    help="Folder of another version of the program, to compare with.",
+)
+def soak(first: int, seeds: int, seconds: float, managers: int, program: Path | None) -> None:
+    """Play drawn crowds, series of signals and faults of engines, and check memory, answers, attempts and exits."""
+    import asyncio
+
+    from decklb.lab.crowds.soak_run import play_soak
+    from decklb.lab.crowds.soak_verdict import findings, summary
+
+    log.set_up("ERROR", "text")
+    failed = 0
+    for seed in range(first, first + seeds):
+        record = asyncio.run(play_soak(seed, seconds, managers, program))
+        found = findings(record)
+        failed += bool(found)
+        click.echo(f"seed {seed}: {summary(record)}: {'; '.join(found) or 'holds'}")
+    click.echo(f"{seeds} seeds, {failed} with findings")
+    if failed:
+        raise SystemExit(1)
+
+
 @click.command()
 @click.option("--picture", "chosen", multiple=True, help="Name of a picture; repeat for more. Default: all.")
 @click.option("--seconds", default=8.0, show_default=True, help="How long the crowd lasts.")
--- a/decklb/core/memory_account.py
+++ b/decklb/core/memory_account.py
@@ -24,6 +24,9 @@
 UNLIMITED_BYTES = 1 << 60  # limit of an account that only counts
 SMALL_MESSAGE_BYTES = 8192  # up to this size a message counts as small
 LARGE_MESSAGE_SHARE = 0.75  # of the limit, which large messages may use
+# Bytes of large requests in flight above which no further large message is received: they take the connections to
+# engines, and small requests would wait behind them.
+LARGE_IN_FLIGHT_BYTES = 4 << 20
 REQUEST_OVERHEAD_BYTES = 4096  # records of an open request beside its message
 MARKS = (0.5, 0.75, 0.9, 1.0)  # shares of the limit; passing one is reported
 
@@ -31,11 +34,11 @@
 class Holder:
     """What one connection holds, and the most that it held."""
 
-    __slots__ = ("name", "amounts", "total", "peak", "_account")
+    __slots__ = ("name", "account", "amounts", "total", "peak")
 
     def __init__(self, account: MemoryAccount, name: str) -> None:
         """`name` says in the log which connection this is."""
-        self.name, self._account = name, account
+        self.name, self.account = name, account
         self.amounts = [0] * KIND_COUNT
         self.total = self.peak = 0
 
@@ -56,7 +59,7 @@
         self.amounts[kind] += difference
         self.total += difference
         self.peak = max(self.peak, self.total)
-        self._account.changed(self, kind, difference)
+        self.account.changed(self, kind, difference)
 
     def charge_request(self, message_bytes: int) -> RequestCharge:
         """Charge a request of this size until it is released."""
@@ -70,12 +73,17 @@
 
     def __init__(self, holder: Holder, amount: int) -> None:
         self._holder, self._amount = holder, amount
-        holder.change(HeldKind.REQUEST, amount)
+        self._change(amount)
 
     def release(self) -> None:
         """End the charge; further calls have no effect."""
         amount, self._amount = self._amount, 0
-        self._holder.change(HeldKind.REQUEST, -amount)
+        self._change(-amount)
+
+    def _change(self, difference: int) -> None:
+        self._holder.change(HeldKind.REQUEST, difference)
+        if abs(difference) > SMALL_MESSAGE_BYTES + REQUEST_OVERHEAD_BYTES:
+            self._holder.account.large_in_flight += difference
 
 
 class MemoryAccount:
@@ -86,13 +94,14 @@
         total: What they hold, in bytes.
         by_kind: The same, by `HeldKind`.
         peak: Highest total so far.
+        large_in_flight: Bytes of large requests that are charged.
         on_mark: Called each time that the total passes one of MARKS upwards, with its share of the limit.
     """
 
     def __init__(self, limit_bytes: int) -> None:
         self.limit_bytes = limit_bytes
         self.large_limit_bytes = int(limit_bytes * LARGE_MESSAGE_SHARE)
-        self.total = self.peak = 0
+        self.total = self.peak = self.large_in_flight = 0
         self.by_kind = [0] * KIND_COUNT
         self.on_mark: Callable[[float], None] = lambda share: None
         self._holders: set[Holder] = set()  # those that hold anything
@@ -112,6 +121,10 @@
         """Whether large messages are not admitted."""
         return self.total > self.large_limit_bytes
 
+    def may_receive_large(self) -> bool:
+        """Whether another part of a large message should be received now."""
+        return self.large_in_flight < LARGE_IN_FLIGHT_BYTES
+
     def largest(self, count: int) -> list[Holder]:
         """Return the holders of most, largest first."""
         return sorted(self._holders, key=lambda holder: -holder.total)[:count]
--- a/decklb/lab/crowds/client_process.py
+++ b/decklb/lab/crowds/client_process.py
@@ -32,7 +32,7 @@
 
 async def play(task: ClientTask) -> ClientReport:
     """Play the clients of a task and return what they saw."""
-    report, rng, numbers = ClientReport(), random.Random(task.seed), itertools.count(CROWD_NAMES_FROM)
+    report, rng, numbers = ClientReport(), random.Random(task.seed), itertools.count(CROWD_NAMES_FROM + task.names_from)
     clients = platform_clients if task.front == "platform" else postgres_clients
     tasks = [asyncio.create_task(_measure_delay(report))]
     for crowd in task.crowds:
@@ -40,7 +40,11 @@
             client_rng = random.Random(rng.random())
             tasks.append(asyncio.create_task(clients.run_crowd_client(task, crowd, report, numbers, client_rng)))
     for number in range(task.usual_clients):
-        tasks.append(asyncio.create_task(clients.run_usual_client(task, report, f"{USUAL_NAMES_FROM + number:08x}")))
+        tasks.append(
+            asyncio.create_task(
+                clients.run_usual_client(task, report, f"{USUAL_NAMES_FROM + task.names_from + number:08x}")
+            )
+        )
     stopped = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopped.set)
     with suppress(TimeoutError):
--- a/decklb/lab/crowds/platform_clients.py
+++ b/decklb/lab/crowds/platform_clients.py
@@ -125,8 +125,9 @@
         self.some_answer.set()
 
     def _count_lost(self, why: str) -> None:
-        for stream in self.open:
+        for stream, sent_at in self.open.items():
             self.report.count(AnswerKind.LOST)
+            self.report.lost_spans.append((sent_at, time.monotonic()))
             self._note(f"stream {stream} of {self.name}: {why}")
         self.open.clear()
 
--- a/decklb/lab/crowds/postgres_clients.py
+++ b/decklb/lab/crowds/postgres_clients.py
@@ -68,6 +68,7 @@
             types = await asyncio.wait_for(self.read_until_ready(), self.task.budget_ms / 1000 + ANSWER_GRACE_S)
         except (TimeoutError, OSError, EOFError) as error:
             self.report.count(AnswerKind.LOST)
+            self.report.lost_spans.append((sent_at, time.monotonic()))
             self.report.incidents.append(f"{self.name}: {type(error).__name__}")
             raise EOFError from None
         self.report.count(AnswerKind.SERVED if "C" in types else AnswerKind.REJECTED)
--- a/decklb/lab/crowds/reports.py
+++ b/decklb/lab/crowds/reports.py
@@ -31,6 +31,7 @@
         left_at: For clients that leave: the time, in seconds of the monotonic clock, by the start of their request ids.
         connections: Number of connections that were opened.
         own_delay_ms: Longest time for which the event loop of this process was late.
+        lost_spans: For each lost request, when it was sent and when that was noticed, in s of the monotonic clock.
         incidents: Descriptions of lost and repeated answers, the first few.
     """
 
@@ -39,6 +40,7 @@
     left_at: dict[str, float] = field(default_factory=dict)
     connections: int = 0
     own_delay_ms: float = 0.0
+    lost_spans: list[tuple[float, float]] = field(default_factory=list)
     incidents: list[str] = field(default_factory=list)
 
     def count(self, kind: AnswerKind) -> None:
@@ -64,6 +66,7 @@
         crowds: The crowds to play; none for a process of usual clients.
         usual_clients: Number of usual clients.
         budget_ms: Budget of each request.
+        names_from: Added to the numbers in the names of clients, which differ between processes of clients by it.
     """
 
     host: str
@@ -74,6 +77,7 @@
     crowds: tuple[Crowd, ...] = ()
     usual_clients: int = 0
     budget_ms: int = 3000
+    names_from: int = 0
 
 
 def encode_task(task: ClientTask) -> str:
--- a/decklb/lab/standins/recording_peers.py
+++ b/decklb/lab/standins/recording_peers.py
@@ -42,7 +42,7 @@
 
     Attributes:
         work_s: Execution time of a statement in seconds.
-        port: Port on which it listens; 0 before it is started.
+        port: Port on which it listens; 0 for an ephemeral one, before it is started.
         attempts: All attempts that it received, in order of arrival.
         writers: Writers of its open connections.
         answer_size: Size of its latest answer in bytes.
@@ -56,8 +56,8 @@
     _server: asyncio.Server | None = None
 
     async def start(self) -> None:
-        """Listen on an ephemeral port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        """Listen on its port, or on an ephemeral one."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
@@ -171,6 +171,11 @@
         self.serial = 1
         self._transport: asyncio.DatagramTransport | None = None
 
+    def replace(self, old: str, new: str) -> None:
+        """Give the port of an engine to a new one."""
+        self.engine_ports[new] = self.engine_ports.pop(old)
+        self.serial += 1
+
     def add(self, engine: str, port: int, started_ms: int) -> None:
         """Add an engine to the list; `started_ms` is its start as Unix time in ms."""
         self.engine_ports[engine], self.started_ms[engine] = port, started_ms
--- a/decklb/net/client_connection.py
+++ b/decklb/net/client_connection.py
@@ -31,6 +31,7 @@
 MAX_STREAMS = 32  # open requests on one connection
 MAX_UNSENT_BYTES = 32 * 52_000  # that one client may leave unread: the largest possible answers to its open requests
 MAX_INVALID_FRAMES = 8  # complete but invalid frames that are tolerated on one connection
+MAX_INPUT_WAIT_MS = 500.0  # for which a request may wait for its turn, before it is rejected without being read
 MAX_INVALID_REQUESTS = 1000  # requests with invalid fields, likewise
 
 
@@ -74,6 +75,8 @@
         self.turn: Turn[ClientConnection] = Turn(self)
         self._reading = ReadingSwitch()
         self._received_at_ms = 0.0  # time of the last receipt
+        self._paused_at_ms: float | None = None  # since when its input waits
+        self._paused_ms = 0.0  # for which the message in progress waited unread
         self._message_completed = False  # since the last turn began
         self._go_away_sent = False
         self._end_reason = "client-closed"  # for the log
@@ -139,9 +142,9 @@
         """A turn is over: report what is held, and read on unless there is input that waits."""
         if waiting:
             self._report_received()
-            self._reading.pause(self.transport, PauseReason.TURN)
+            self._pause_for_turn()
             return
-        self._reading.resume(self.transport, PauseReason.TURN)
+        self._resume_after_turn()
         if self.input_failed or self.closing:
             return
         message_completed, self._message_completed = self._message_completed, False
@@ -149,6 +152,19 @@
         self.listener.limits.update(self, message_completed)
         self._close_if_done()
 
+    def _pause_for_turn(self) -> None:
+        if self._paused_at_ms is None:
+            self._paused_at_ms = self.listener.dispatcher.clock.now()
+        self._reading.pause(self.transport, PauseReason.TURN)
+
+    def _resume_after_turn(self) -> None:
+        if self._paused_at_ms is not None:
+            self._paused_ms += self.listener.dispatcher.clock.now() - self._paused_at_ms
+            self._paused_at_ms = None
+        if not self.reader.has_partial:
+            self._paused_ms = 0.0
+        self._reading.resume(self.transport, PauseReason.TURN)
+
     def _report_received(self) -> None:
         self.holder.set(HeldKind.PARTIAL_MESSAGE, len(self.reader.buffer))
 
@@ -172,10 +188,14 @@
                 # An answer on a stream in use would look like a second answer to its first request.
                 self._ignore_invalid("stream-in-use")
                 return
-            if frame.discarded or not self.listener.account.admits(len(frame.payload), REQUEST_OVERHEAD_BYTES):
+            waited_ms = self.listener.dispatcher.clock.now() - self._received_at_ms + self._paused_ms
+            if waited_ms > MAX_INPUT_WAIT_MS:
+                self._reject_unread(frame.stream)
+            elif frame.discarded or not self.listener.account.admits(len(frame.payload), REQUEST_OVERHEAD_BYTES):
                 self._reject_for_memory(frame.stream)
             else:
-                self._submit(frame)
+                self._submit(frame, waited_ms)
+            self._paused_ms = 0.0
         elif frame.type == frames.CANCEL:
             if not self._cancel(frame.stream):
                 return
@@ -209,7 +229,7 @@
         )
         self._write(frames.pack_answer(0, frames.FAILED, frames.error_fields(reason)))
 
-    def _submit(self, frame: frames.Frame) -> None:
+    def _submit(self, frame: frames.Frame, waited_ms: float) -> None:
         stream, listener = frame.stream, self.listener
         self.requests[stream] = None
         try:
@@ -224,7 +244,7 @@
             if self._invalid_requests > MAX_INVALID_REQUESTS:
                 self.fail("invalid-requests")
             return
-        incoming.budget_ms -= listener.dispatcher.clock.now() - self._received_at_ms
+        incoming.budget_ms -= waited_ms
         if len(self.requests) > MAX_STREAMS or listener.draining or self.over_limit or incoming.budget_ms <= 0:
             self.answer(stream, frames.REJECTED, listener.overload_fields)
             return
@@ -239,6 +259,11 @@
         self.requests[stream] = None
         self.answer(stream, frames.REJECTED, self.listener.overload_fields)
 
+    def _reject_unread(self, stream: int) -> None:
+        """Reject a request that waited so long for its turn that others behind it would be late too."""
+        self.requests[stream] = None
+        self.answer(stream, frames.REJECTED, self.listener.overload_fields)
+
     def _release(self, stream: int) -> Request | None:
         """Free the stream; returns its request if it was submitted."""
         request = self.requests.pop(stream, None)
--- a/decklb/net/listener.py
+++ b/decklb/net/listener.py
@@ -50,7 +50,7 @@
         self.dispatcher, self.ready, self.account = dispatcher, ready, account
         self.limits = ConnectionLimits(dispatcher.clock, max_clients, spare_clients)
         self.partial_messages = PartialMessages(account)
-        self.turns = InputTurns(dispatcher.clock)
+        self.turns = InputTurns(dispatcher.clock, account.may_receive_large)
         self.memory_log = MemoryLog(dispatcher.clock)
         settings = dispatcher.settings
         retry_after_ms = min(OVERLOAD_RETRY_AFTER_MS, settings.max_retry_after_ms) if settings.retry_after else 0.0
--- a/decklb/pg/listener.py
+++ b/decklb/pg/listener.py
@@ -49,7 +49,7 @@
             account,
             PartialMessages(account),
             MemoryLog(dispatcher.clock),
-            InputTurns(dispatcher.clock),
+            InputTurns(dispatcher.clock, account.may_receive_large),
         )
 
     @property
--- a/decklb/wire/input_turns.py
+++ b/decklb/wire/input_turns.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from heapq import heappop, heappush
 from typing import Any, Protocol
 
@@ -20,6 +21,8 @@
 PARTS_PER_PASS = 12
 # ms after which a new pass is assumed while no connection waits.
 PASS_LENGTH_MS = 6.0
+# ms after which it is tried again whether large messages may be received.
+RECEIVE_RETRY_MS = 1.0
 # Smallest cost of a message in ms, for clocks that do not resolve it.
 MIN_COST_MS = 0.01
 
@@ -48,8 +51,9 @@
         longest_pass_ms: Longest time for which turns were handled without a break.
     """
 
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
+    def __init__(self, clock: Clock, may_receive_large: Callable[[], bool] = lambda: True) -> None:
+        """While `may_receive_large` returns false, large messages wait."""
+        self._clock, self._may_receive_large = clock, may_receive_large
         self._turns: FairTurns[InputConnection] = FairTurns()
         # Connections in the middle of large messages that wait to be read, by the number of the message.
         self._receiving: list[tuple[int, Turn[InputConnection]]] = []
@@ -110,7 +114,7 @@
             self._message_count += 1
             turn.message_number = self._message_count
         self._parts += 1
-        if self._parts <= PARTS_PER_PASS:
+        if self._parts <= PARTS_PER_PASS and self._may_receive_large():
             connection.input_handled(waiting=False)
             return
         turn.waiting = True
@@ -129,7 +133,9 @@
     def _schedule(self) -> None:
         if not self._scheduled:
             self._scheduled = True
-            self._clock.call_later(0.0, self._run_pass)
+            self._clock.call_later(
+                0.0 if self._turns or self._may_receive_large() else RECEIVE_RETRY_MS, self._run_pass
+            )
 
     def _run_pass(self) -> None:
         """Give turns to the connections that wait, until the budget is spent."""
@@ -139,7 +145,8 @@
             turn = self._turns.next()
             more, now = self._handle_next(turn.owner, now)
             self._end_turn(turn.owner, more)
-        for _ in range(min(PARTS_PER_PASS, len(self._receiving))):
+        parts = PARTS_PER_PASS if self._may_receive_large() else 0
+        for _ in range(min(parts, len(self._receiving))):
             _, turn = heappop(self._receiving)
             turn.waiting = False
             turn.owner.input_handled(waiting=False)
--- a/tests/test_memory_pressure.py
+++ b/tests/test_memory_pressure.py
@@ -41,6 +41,9 @@
     def recv(self, size, flags):
         raise BlockingIOError(11, "nothing")
 
+    def shutdown(self, how):
+        pass
+
     def fileno(self):
         return OPEN_SOCKETS[0].fileno()
 
