Stand-ins of the tests: an event loop stops once its tasks have closed their connections

Cause of the one warning left beside the suite (StreamWriter.__del__: event loop is closed): Loop.stop stopped the loop while tasks of its servers waited for input, so their writers were never closed.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -83,8 +83,16 @@
         return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(DEADLINE)
 
     def stop(self):
+        """Stop the loop once its tasks have closed their connections."""
+        self.run(self._cancel_tasks())
         self.loop.call_soon_threadsafe(self.loop.stop)
 
+    async def _cancel_tasks(self):
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
 
 def wait_for(condition, what="condition"):
     """Poll until the condition is true; fail the test after DEADLINE."""
