Engines: what was held back is not sent to a process that took a removed engine's address

An attempt that waits on a blocked connection was sent on it after the list had removed the engine; what is connected there may be the next process at that address. It ends as never sent, so the policy sends it elsewhere. The test fails before (connected before the list), and held already where the list comes while dialing.

--- a/decklb/net/engine_connection.py
+++ b/decklb/net/engine_connection.py
@@ -269,11 +269,13 @@
     def retire(self) -> None:
         """Accept no new attempts, and close once the open ones have ended.
 
-        A connection that is not established yet is given up: its address may belong to another engine by then.
+        What is not sent yet is given up: the address, and what is connected to it, may belong to another engine.
         """
         self.retired = True
         if not self.connected:
             self._cancel_dial()
+        for call in [call for call in self.calls.values() if not call.sent]:
+            self._end_unsent(call)
         self._schedule_idle_close()
 
     def _abort(self, reason: str) -> None:
--- a/tests/test_engine_connection.py
+++ b/tests/test_engine_connection.py
@@ -110,6 +110,27 @@
             [p[:2] for p in transport.flush()], [[b"do", waiting.request.incoming.client_request_id.encode()]]
         )
 
+    def test_what_was_not_sent_to_an_engine_is_not_sent_to_the_one_that_took_its_address(self):
+        for connected_before_the_list in (True, False):
+            with self.subTest(connected_before_the_list=connected_before_the_list):
+                self.setUp()
+                sent = self.start()
+                if connected_before_the_list:
+                    connection, transport = self.connect()
+                    self.clock.advance(WRITE_BLOCKED_LIMIT_MS + 1)
+                    waiting = self.start()
+                else:
+                    waiting = sent
+                self.engines.update_endpoints({"e2": ("127.0.0.1", 1)})
+                self.clock.advance(1)
+                self.assertEqual([attempt for attempt, _ in self.ended], [waiting])
+                self.assertNotIn(self.ended[0][1], (Outcome.SUCCESS, Outcome.CONNECTION_RESET))
+                if connected_before_the_list:
+                    self.assertEqual(
+                        [p[1] for p in transport.flush()], [sent.request.incoming.client_request_id.encode()]
+                    )
+                    self.assertEqual(transport.flush(), [])
+
     def test_a_reset_ends_attempts_that_were_not_sent_as_unreachable(self):
         sent = self.start()
         connection, _ = self.connect()
