Middleware: the bodies of all requests together are bounded

Change: most_held (64 MB), counted by the account of memory; beyond three quarters of it larger bodies get 503 with Retry-After, small ones beyond all of it.

--- a/decklb/middleware/asgi.py
+++ b/decklb/middleware/asgi.py
@@ -15,20 +15,34 @@
 App = Callable[[Scope, Receive, Send], Awaitable[None]]
 
 
-async def read_body(receive: Receive, max_bytes: int) -> bytes | None:
+class NoMemoryError(Exception):
+    """There is no memory for the body of a request."""
+
+
+async def read_body(receive: Receive, max_bytes: int, may_hold: Callable[[int], bool]) -> bytes | None:
     """Read the body of a request. Returns None if the client has disconnected.
 
     Reading stops when the body exceeds `max_bytes`; the result is then longer than that.
+
+    Args:
+        receive: Of the ASGI call.
+        max_bytes: See above.
+        may_hold: Is told how many bytes are held, and returns whether they may be.
+
+    Raises:
+        NoMemoryError: `may_hold` returned false.
     """
-    body = b""
+    body = bytearray()
     while len(body) <= max_bytes:
         message = await receive()
         if message["type"] == "http.disconnect":
             return None
         body += message.get("body", b"")
+        if not may_hold(len(body)):
+            raise NoMemoryError
         if not message.get("more_body", False):
             break
-    return body
+    return bytes(body)
 
 
 async def wait_for_disconnect(receive: Receive) -> None:
--- a/decklb/middleware/middleware.py
+++ b/decklb/middleware/middleware.py
@@ -15,11 +15,21 @@
 from loguru import logger
 
 from decklb.core.dispatcher import ANSWER_MARGIN_MS, Dispatcher
+from decklb.core.memory_account import HeldKind, MemoryAccount
 from decklb.core.ports import RequestHandler
 from decklb.interface import Endpoint, Settings
 from decklb.middleware.answers import Answer, AnswerFuture, AnswerKind
 from decklb.middleware.application_client import ApplicationClient
-from decklb.middleware.asgi import App, Receive, Scope, Send, read_body, send_empty_response, wait_for_disconnect
+from decklb.middleware.asgi import (
+    App,
+    NoMemoryError,
+    Receive,
+    Scope,
+    Send,
+    read_body,
+    send_empty_response,
+    wait_for_disconnect,
+)
 from decklb.middleware.event_loop_clock import EventLoopClock
 from decklb.middleware.requests import AsgiRequest, RequestSpec
 
@@ -28,6 +38,8 @@
 
 DEFAULT_MAX_BODY_BYTES = 1 << 20
 DEFAULT_MAX_RESPONSE_BYTES = 4 << 20
+DEFAULT_MAX_HELD_BYTES = 64 << 20
+NO_MEMORY_RETRY_S = 1
 MS_PER_S = 1000
 # A failure less than this before the deadline counts as a timeout: the dispatcher ends requests ANSWER_MARGIN_MS
 # before their deadline.
@@ -54,6 +66,7 @@
         most_body: int = DEFAULT_MAX_BODY_BYTES,
         most_response: int = DEFAULT_MAX_RESPONSE_BYTES,
         fleet: Members | None = None,
+        most_held: int = DEFAULT_MAX_HELD_BYTES,
     ) -> None:
         """Wrap an application.
 
@@ -65,6 +78,8 @@
             seed: Seed of the random decisions.
             most_body: Maximum size of a request body in bytes.
             most_response: Maximum size of a response of the application in bytes.
+            most_held: Maximum size in bytes of the bodies of all requests together. Beyond three quarters of it bodies
+                over 8 KB are rejected, beyond all of it any: 503 with Retry-After.
             fleet: Joins this process to a fleet whose processes take over each other's requests; see docs/operations.
         """
         self.dispatcher: Dispatcher | None = None
@@ -74,6 +89,7 @@
         self._max_body_bytes, self._max_response_bytes = most_body, most_response
         self._engines = engines
         self._request_count = 0
+        self.account = MemoryAccount(most_held)
 
     def update_engines(self, engines: list[Endpoint]) -> None:
         """Replace the list of engines; call it when the list has changed."""
@@ -90,12 +106,23 @@
         spec = self._classify(scope) if scope["type"] == "http" else None
         if spec is None or spec.request_class not in self.settings.classes:
             return await self.app(scope, receive, send)
-        body = await read_body(receive, self._max_body_bytes)
-        if body is None:
-            return
-        if len(body) > self._max_body_bytes:
-            return await send_empty_response(send, CONTENT_TOO_LARGE)
-        await self._manage(spec, scope, body, receive, send)
+        holder = self.account.holder("request")
+
+        def may_hold(size: int) -> bool:
+            holder.set(HeldKind.PARTIAL_MESSAGE, size)
+            return self.account.admits(size)
+
+        try:
+            body = await read_body(receive, self._max_body_bytes, may_hold)
+            if body is None:
+                return
+            if len(body) > self._max_body_bytes:
+                return await send_empty_response(send, CONTENT_TOO_LARGE)
+            await self._manage(spec, scope, body, receive, send)
+        except NoMemoryError:
+            await send_empty_response(send, SERVICE_UNAVAILABLE, NO_MEMORY_RETRY_S)
+        finally:
+            holder.set(HeldKind.PARTIAL_MESSAGE, 0)
 
     async def _lifespan(self, fleet: Members, scope: Scope, receive: Receive, send: Send) -> None:
         """Join the fleet at startup instead of at the first request, and leave it at shutdown."""
--- a/tests/test_memory_pressure.py
+++ b/tests/test_memory_pressure.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 from test_dispatcher import TestClock
 from twisted.internet.testing import StringTransport
@@ -10,6 +12,7 @@
 from decklb.core.dispatcher import Dispatcher
 from decklb.core.memory_account import HeldKind, MemoryAccount
 from decklb.interface import Outcome
+from decklb.middleware import RequestSpec, WorkloadMiddleware
 from decklb.net import frames
 from decklb.net.engines import RespEngines
 from decklb.net.listener import FrameListener
@@ -339,3 +342,50 @@
     assert [message.given_up for message in messages] == [True, False, False, False]
     messages[3].receive(50_000, STALLED_AFTER_MS + 1)
     assert [message.given_up for message in messages] == [True, True, False, False]
+
+
+class Asgi:
+    """Calls an application and records the status of its response; the body comes in pieces."""
+
+    def __init__(self, app, pieces, gate=None):
+        self.app, self.pieces, self.gate, self.status = app, list(pieces), gate, 0
+
+    async def receive(self):
+        if not self.pieces:
+            await asyncio.Event().wait()
+        body = self.pieces.pop(0)
+        if self.gate is not None and not self.pieces:
+            await self.gate.wait()
+        return {"type": "http.request", "body": body, "more_body": bool(self.pieces)}
+
+    async def send(self, message):
+        self.status = message.get("status", self.status)
+
+    async def call(self):
+        await self.app({"type": "http", "path": "/"}, self.receive, self.send)
+        return self.status
+
+
+def test_bodies_in_the_middleware_hold_no_more_than_their_limit():
+    async def application(scope, receive, send):
+        await receive()
+        await send({"type": "http.response.start", "status": 200, "headers": []})
+        await send({"type": "http.response.body", "body": b"ok"})
+
+    async def play():
+        endpoints = [api.Endpoint("e1", "z", "k", 0, api.Phase.UP)]
+        spec = RequestSpec("read", tenant="cusco")
+        app = WorkloadMiddleware(application, parse_settings(SETTINGS), endpoints, lambda scope: spec, most_held=LIMIT)
+        gate = asyncio.Event()
+        large = [asyncio.create_task(Asgi(app, [b"x" * LARGE, b"x"], gate).call()) for _ in range(10)]
+        await asyncio.sleep(0.05)
+        assert app.account.total <= LIMIT
+        small = await Asgi(app, [b"x" * 100]).call()
+        gate.set()
+        statuses = await asyncio.gather(*large)
+        return small, sorted(statuses), app.account.total
+
+    small, statuses, held = asyncio.run(play())
+    assert small == 200
+    assert statuses == [200] + [503] * 9
+    assert held == 0
