Connections: one in the middle of its first message is not evicted as silent

What callers saw: at the limit of connections a client whose first request was large and on its way was closed as silent after 30 ms (the request gets no answer). Cause: silent meant without a complete message. A connection that received something in the last 30 ms is kept now. The test fails before.

--- a/decklb/net/client_connection.py
+++ b/decklb/net/client_connection.py
@@ -275,6 +275,11 @@
         """Whether received bytes are not handled, or the socket has unread bytes."""
         return self.turn.waiting or has_unread_bytes(self.transport)
 
+    def is_receiving(self, since_ms: float) -> bool:
+        """Whether a part of a message was received in the last `since_ms`."""
+        now = self.listener.dispatcher.clock.now()
+        return self.reader.has_partial and now - self._received_at_ms <= since_ms
+
     def client_has_left(self) -> bool:
         """Whether the client has closed or reset the connection, which may not have been read yet."""
         return peer_has_left(self.transport)
--- a/decklb/net/connection_limits.py
+++ b/decklb/net/connection_limits.py
@@ -133,7 +133,8 @@
         return max(0, len(self.clients) - self.max_clients)
 
     def _evict_silent(self, client: ClientConnection, now: float) -> None:
-        if not client.close("evicted-silent"):  # its message is unread because this process was stalled
+        # Its message may be on its way, or unread because this process was stalled.
+        if client.is_receiving(EVICTION_GRACE_MS) or not client.close("evicted-silent"):
             del self._silent[client]
             self._silent[client] = now
 
--- a/tests/test_memory_pressure.py
+++ b/tests/test_memory_pressure.py
@@ -14,6 +14,7 @@
 from decklb.interface import Outcome
 from decklb.middleware import RequestSpec, WorkloadMiddleware
 from decklb.net import frames
+from decklb.net.connection_limits import EVICTION_GRACE_MS
 from decklb.net.engines import RespEngines
 from decklb.net.listener import FrameListener
 from decklb.pg import messages as pg
@@ -76,12 +77,12 @@
 class Front:
     """A listener of one of the fronts with an account."""
 
-    def __init__(self, kind="platform", limit=LIMIT):
+    def __init__(self, kind="platform", limit=LIMIT, max_clients=50):
         self.clock, self.engines, self.account = TestClock(), Engines(), MemoryAccount(limit)
         self.dispatcher = Dispatcher(parse_settings(SETTINGS), 1, self.clock, self.engines)
         self.dispatcher.update_endpoints([api.Endpoint("e1", "z", "k", 0, api.Phase.UP)])
         if kind == "platform":
-            self.listener = FrameListener(self.dispatcher, lambda: True, 50, 10, self.account)
+            self.listener = FrameListener(self.dispatcher, lambda: True, max_clients, 10, self.account)
         else:
             settings = PgSettings.from_raw({"user": "u"}, self.dispatcher.settings)
             self.listener = PgListener(self.dispatcher, settings, lambda bound: 7 % bound, 50, self.account)
@@ -344,6 +345,19 @@
     assert [message.given_up for message in messages] == [True, True, False, False]
 
 
+def test_a_connection_in_the_middle_of_its_first_message_is_not_evicted_as_silent():
+    front = Front(limit=1 << 30, max_clients=1)
+    client, data = front.connect(), request(1, b"x" * LARGE)
+    for start in range(0, LARGE, 20_000):
+        client.dataReceived(data[start : start + 20_000])
+        other = front.connect()
+        front.clock.advance(EVICTION_GRACE_MS - 5)
+        other.connectionLost()
+    client.dataReceived(data[LARGE:])
+    front.end_attempts()
+    assert answers(client) == [(1, frames.SERVED)]
+
+
 class Asgi:
     """Calls an application and records the status of its response; the body comes in pieces."""
 
