Readers of frames and PostgreSQL messages share the buffer that can discard a message

The logic stood twice. Moves only, but that the size of a frame is told once its header is complete, as before. A test forces a discard from each byte of the header.

--- a/decklb/net/frames.py
+++ b/decklb/net/frames.py
@@ -13,6 +13,7 @@
 
 from decklb.core.ports import IncomingRequest
 from decklb.interface import Settings
+from decklb.wire.message_buffer import MessageBuffer
 from decklb.wire.table_group import table_group
 
 # Frame types.
@@ -31,7 +32,6 @@
 MIN_LENGTH = 5  # smallest value of a frame's length: type and stream
 MAX_LENGTH = 262_144  # largest value of a frame's length
 HEADER = struct.Struct(">IBI")  # length, type, stream
-RECEIVED_AT_ONCE_BYTES = 8192  # a part of a frame of at least this size is not the start of a usual request
 LENGTH_SIZE = 4  # bytes of the length itself, which are not counted in it
 MAX_BUDGET_MS = 3_600_000
 REQUEST_ID = re.compile(r"[0-9a-f]{16}")
@@ -60,14 +60,9 @@
     discarded: bool = False  # its payload was not kept
 
 
-class FrameReader:
+class FrameReader(MessageBuffer[Frame]):
     """Splits a byte stream, received in arbitrary pieces, into frames."""
 
-    def __init__(self) -> None:
-        self.buffer = bytearray()  # received bytes that belong to no returned frame
-        self._discarding: Frame | None = None  # the frame whose payload is not kept
-        self._bytes_to_discard = 0  # of its payload that are still to come
-
     def feed(self, data: bytes) -> Iterator[Frame]:
         """Yield the frames that are now complete, one by one, so that those before an error are handled.
 
@@ -77,19 +72,11 @@
         while (frame := self.next_frame()) is not None:
             yield frame
 
-    def append(self, data: bytes) -> None:
-        """Add received bytes."""
-        if self._bytes_to_discard:
-            discarded = min(self._bytes_to_discard, len(data))
-            self._bytes_to_discard -= discarded
-            data = data[discarded:]
-        self.buffer += data
-
     def next_frame(self) -> Frame | None:
         """Return the next complete frame, or None. Raises FrameError as `feed` does."""
-        if self._discarding is not None:
-            return self._end_of_discarded()
-        size = self._frame_size()
+        if self.is_discarding:
+            return self.take_discarded()
+        size = self.partial_size()
         if not size or len(self.buffer) < size:
             return None
         _, frame_type, stream = HEADER.unpack_from(self.buffer)
@@ -97,49 +84,22 @@
         del self.buffer[:size]
         return Frame(frame_type, stream, payload)
 
-    def _frame_size(self) -> int:
-        """Return the size in bytes of the frame that begins the buffer; 0 while it is not known."""
+    def partial_size(self) -> int:
+        """Return the size in bytes of the frame that begins the buffer; 0 before its header is complete.
+
+        Raises FrameError.
+        """
         if len(self.buffer) < LENGTH_SIZE:
             return 0
         length = int.from_bytes(self.buffer[:LENGTH_SIZE], "big")
         if not MIN_LENGTH <= length <= MAX_LENGTH:  # checked before waiting for the payload
             raise FrameError("bad-length")
-        return LENGTH_SIZE + length
-
-    def _end_of_discarded(self) -> Frame | None:
-        if self._bytes_to_discard:
-            return None
-        frame, self._discarding = self._discarding, None
-        return frame
-
-    @property
-    def has_partial(self) -> bool:
-        """Whether a frame has begun that was not returned yet."""
-        return bool(self.buffer) or self._discarding is not None
-
-    @property
-    def is_receiving_large(self) -> bool:
-        """Whether the frame in the buffer is incomplete, and larger than what is received at once."""
-        if self._discarding is not None:
-            return self._bytes_to_discard > 0
-        if len(self.buffer) < RECEIVED_AT_ONCE_BYTES:
-            return False
-        length = int.from_bytes(self.buffer[:LENGTH_SIZE], "big")
-        return len(self.buffer) < LENGTH_SIZE + min(length, MAX_LENGTH)
-
-    def partial_size(self) -> int:
-        """Return the size in bytes that the incomplete frame in the buffer will have; 0 while it is not known."""
-        return self._frame_size() if len(self.buffer) >= HEADER.size else 0
-
-    def discard_partial(self) -> None:
-        """Drop the incomplete frame, whose size is known, and what is still to come of it.
+        return LENGTH_SIZE + length if len(self.buffer) >= HEADER.size else 0
 
-        It is returned without its payload when its last byte has arrived.
-        """
+    def without_bytes(self) -> Frame:
+        """Return the frame that begins the buffer without its payload."""
         _, frame_type, stream = HEADER.unpack_from(self.buffer)
-        self._discarding = Frame(frame_type, stream, b"", discarded=True)
-        self._bytes_to_discard = self._frame_size() - len(self.buffer)
-        self.buffer = bytearray()
+        return Frame(frame_type, stream, b"", discarded=True)
 
 
 def pack(frame_type: int, stream: int, payload: bytes = b"") -> bytes:
--- a/decklb/pg/messages.py
+++ b/decklb/pg/messages.py
@@ -15,6 +15,7 @@
 
 from decklb.pg import sqlstate
 from decklb.pg.errors import PgError, Severity
+from decklb.wire.message_buffer import MessageBuffer
 
 # Codes in the version field of a message without a type octet.
 PROTOCOL_3_0 = 196_608
@@ -22,7 +23,6 @@
 SSL_REQUEST_CODE = 80_877_103
 GSSENC_REQUEST_CODE = 80_877_104
 
-RECEIVED_AT_ONCE_BYTES = 8192  # a part of a message of at least this size is not the start of a usual one
 LENGTH_SIZE = 4  # size of the length field in bytes; the length includes this field but not the type octet
 MAX_STARTUP_SIZE = 10_000  # bytes; PostgreSQL's limit (MAX_STARTUP_PACKET_LENGTH)
 
@@ -100,21 +100,18 @@
     discarded: bool = False
 
 
-class MessageReader:
+class MessageReader(MessageBuffer[Message]):
     """Splits a byte stream, which arrives in arbitrary chunks, into messages.
 
     Attributes:
-        buffer: Received bytes of an incomplete message.
         max_message_size: Largest accepted value of the length field, in bytes.
         startup: Whether the next message has no type octet: true for client messages up to the StartupMessage. The
             caller sets it to False after the StartupMessage.
     """
 
     def __init__(self, max_message_size: int, startup: bool) -> None:
-        self.buffer = bytearray()
+        super().__init__()
         self.max_message_size, self.startup = max_message_size, startup
-        self._discarding: Message | None = None  # the message whose bytes are not kept
-        self._bytes_to_discard = 0  # of it that are still to come
 
     def feed(self, data: bytes) -> Iterator[Message]:
         """Yield the messages that are now complete. After a PgError, nothing more can be read."""
@@ -122,18 +119,10 @@
         while (message := self.next_message()) is not None:
             yield message
 
-    def append(self, data: bytes) -> None:
-        """Add received bytes."""
-        if self._bytes_to_discard:
-            discarded = min(self._bytes_to_discard, len(data))
-            self._bytes_to_discard -= discarded
-            data = data[discarded:]
-        self.buffer += data
-
     def next_message(self) -> Message | None:
         """Return the next complete message, or None. Raises PgError as `feed` does."""
-        if self._discarding is not None:
-            return self._end_of_discarded()
+        if self.is_discarding:
+            return self.take_discarded()
         size = self.partial_size()
         if not size or len(self.buffer) < size:
             return None
@@ -160,35 +149,9 @@
             raise PgError(sqlstate.PROTOCOL_VIOLATION, "message length is out of bounds", fatal=True)
         return self._type_size + length
 
-    def _end_of_discarded(self) -> Message | None:
-        if self._bytes_to_discard:
-            return None
-        message, self._discarding = self._discarding, None
-        return message
-
-    @property
-    def has_partial(self) -> bool:
-        """Whether a message has begun that was not returned yet."""
-        return bool(self.buffer) or self._discarding is not None
-
-    @property
-    def is_receiving_large(self) -> bool:
-        """Whether the message in the buffer is incomplete, and larger than what is received at once."""
-        if self._discarding is not None:
-            return self._bytes_to_discard > 0
-        if self.startup or len(self.buffer) < RECEIVED_AT_ONCE_BYTES:
-            return False
-        length = int.from_bytes(self.buffer[self._type_size : self._type_size + LENGTH_SIZE], "big")
-        return len(self.buffer) < self._type_size + min(length, self.max_message_size)
-
-    def discard_partial(self) -> None:
-        """Drop the incomplete message, whose size is known, and what is still to come of it.
-
-        It is returned without its bytes when its last byte has arrived.
-        """
-        self._discarding = Message(bytes(self.buffer[: self._type_size]), b"", b"", discarded=True)
-        self._bytes_to_discard = self.partial_size() - len(self.buffer)
-        self.buffer = bytearray()
+    def without_bytes(self) -> Message:
+        """Return the type of the message that begins the buffer as a message without bytes."""
+        return Message(bytes(self.buffer[: self._type_size]), b"", b"", discarded=True)
 
 
 def split_messages(raw: bytes) -> Iterator[Message]:
--- a/tests/test_memory_pressure.py
+++ b/tests/test_memory_pressure.py
@@ -150,6 +150,22 @@
     assert answers(client) == [(2, frames.SERVED)]
 
 
+@pytest.mark.parametrize("first", range(1, 12))
+def test_a_message_can_be_discarded_from_any_byte_of_its_header_on(first):
+    for kind, data in (
+        ("platform", request(1, b"x" * LARGE)),
+        ("postgres", pg.pack(b"Q", b"select '" + b"x" * LARGE + b"'\0")),
+    ):
+        front = Front(kind)
+        client = front.connect() if kind == "platform" else front.session()
+        fill(front, front.account.limit_bytes)
+        front.deliver(client, data[:first])
+        front.deliver(client, data[first:-1])
+        assert client.transport.value() == b""
+        front.deliver(client, data[-1:])
+        assert client.transport.value() != b""
+
+
 def test_a_small_request_is_served_where_a_large_one_is_rejected():
     front = Front()
     client = front.connect()
