Account and leave checks cost less: small growth is not reported, drained connections are not asked

Change: amounts that change all the time are reported once they have grown by 2 KB; the socket is asked for the client's leaving only where bytes may lie unread before it, or reading is paused. The crowds' flooding clients stop once their connection is closed, and let others run.

--- a/decklb/core/memory_account.py
+++ b/decklb/core/memory_account.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from enum import IntEnum
 
@@ -21,6 +22,7 @@
 
 
 KIND_COUNT = len(HeldKind)
+ROUGH_BYTES = 2048  # growth that need not be reported
 UNLIMITED_BYTES = 1 << 60  # limit of an account that only counts
 SMALL_MESSAGE_BYTES = 8192  # up to this size a message counts as small
 LARGE_MESSAGE_SHARE = 0.75  # of the limit, which large messages may use
@@ -46,6 +48,11 @@
         """Set what is held of one kind, in bytes."""
         self.change(kind, amount - self.amounts[kind])
 
+    def set_roughly(self, kind: HeldKind, amount: int) -> None:
+        """Set what is held of one kind, in bytes, unless it has grown by little only."""
+        if not 0 <= amount - self.amounts[kind] < ROUGH_BYTES:
+            self.change(kind, amount - self.amounts[kind])
+
     def change(self, kind: HeldKind, difference: int) -> None:
         """Add to what is held of one kind, or subtract from it, in bytes.
 
@@ -58,7 +65,8 @@
             raise ValueError(f"{self.name} would hold less than nothing of {kind.name}")
         self.amounts[kind] += difference
         self.total += difference
-        self.peak = max(self.peak, self.total)
+        if self.total > self.peak:
+            self.peak = self.total
         self.account.changed(self, kind, difference)
 
     def charge_request(self, message_bytes: int) -> RequestCharge:
@@ -105,7 +113,9 @@
         self.by_kind = [0] * KIND_COUNT
         self.on_mark: Callable[[float], None] = lambda share: None
         self._holders: set[Holder] = set()  # those that hold anything
-        self._marks_passed = 0
+        self._marks_passed = 0  # number of MARKS that the total has reached
+        self._mark_bytes = 0.0  # the mark below the total, and the one above it
+        self._next_mark_bytes = limit_bytes * MARKS[0]
 
     def holder(self, name: str) -> Holder:
         """Return the holder of a new connection."""
@@ -133,14 +143,20 @@
         """Called by a holder whose amounts have changed."""
         self.total += difference
         self.by_kind[kind] += difference
-        if difference < 0:
-            if not holder.total:
-                self._holders.discard(holder)
-            while self._marks_passed and self.total < self.limit_bytes * MARKS[self._marks_passed - 1]:
-                self._marks_passed -= 1
-            return
-        self._holders.add(holder)
-        self.peak = max(self.peak, self.total)
-        while self._marks_passed < len(MARKS) and self.total >= self.limit_bytes * MARKS[self._marks_passed]:
-            self._marks_passed += 1
-            self.on_mark(MARKS[self._marks_passed - 1])
+        if difference > 0:
+            self._holders.add(holder)
+            if self.total > self.peak:
+                self.peak = self.total
+        elif not holder.total:
+            self._holders.discard(holder)
+        if not self._mark_bytes <= self.total < self._next_mark_bytes:
+            self._update_marks()
+
+    def _update_marks(self) -> None:
+        """Report the marks that were passed upwards, and find those on both sides of the total."""
+        passed = sum(self.total >= self.limit_bytes * mark for mark in MARKS)
+        reported, self._marks_passed = MARKS[self._marks_passed : passed], passed
+        self._mark_bytes = self.limit_bytes * MARKS[passed - 1] if passed else 0.0
+        self._next_mark_bytes = self.limit_bytes * MARKS[passed] if passed < len(MARKS) else math.inf
+        for mark in reported:
+            self.on_mark(mark)
--- a/decklb/lab/crowds/platform_clients.py
+++ b/decklb/lab/crowds/platform_clients.py
@@ -218,6 +218,8 @@
             client.writer.write(client.request(crowd.request_bytes)[1])
         await client.writer.drain()
         await asyncio.sleep(PIECE_INTERVAL_S)
+        if client.writer.transport.is_closing():
+            return
 
 
 async def _flood(client: FrameClient, frame_of: Callable[[int], bytes]) -> None:
@@ -225,6 +227,9 @@
     while not client.ended.is_set():
         client.writer.write(b"".join(frame_of(next(numbers)) for _ in range(FLOOD_BATCH)))
         await client.writer.drain()
+        await asyncio.sleep(0)  # drain alone does not let others run while nothing is unsent
+        if client.writer.transport.is_closing():
+            return
 
 
 async def _cancels(client: FrameClient, _crowd: Crowd) -> None:
--- a/decklb/lab/crowds/postgres_clients.py
+++ b/decklb/lab/crowds/postgres_clients.py
@@ -103,6 +103,7 @@
         while not reading.done():
             client.writer.write(pg.SYNC * SYNC_BATCH)
             await client.writer.drain()
+            await asyncio.sleep(0)  # drain alone does not let others run while nothing is unsent
     finally:
         reading.cancel()
 
--- a/decklb/net/client_connection.py
+++ b/decklb/net/client_connection.py
@@ -22,7 +22,7 @@
 from decklb.core.memory_account import REQUEST_OVERHEAD_BYTES, SMALL_MESSAGE_BYTES, HeldKind
 from decklb.net import frames
 from decklb.net.frames import FrameError, InvalidRequestError
-from decklb.wire.connection_end import has_unread_bytes, peer_has_left
+from decklb.wire.connection_end import RECEIVE_BYTES, has_unread_bytes, peer_has_left
 from decklb.wire.reading_switch import PauseReason, ReadingSwitch
 
 if TYPE_CHECKING:
@@ -75,6 +75,7 @@
         self.turn: Turn[ClientConnection] = Turn(self)
         self._reading = ReadingSwitch()
         self._received_at_ms = 0.0  # time of the last receipt
+        self._may_be_behind = False  # the last receipt may have left bytes unread
         self._paused_at_ms: float | None = None  # since when its input waits
         self._paused_ms = 0.0  # for which the message in progress waited unread
         self._message_completed = False  # since the last turn began
@@ -114,6 +115,7 @@
         if self.input_failed or self.closing:
             return
         self._received_at_ms = self.listener.dispatcher.clock.now()
+        self._may_be_behind = len(data) >= RECEIVE_BYTES
         self.reader.append(data)
         self.listener.turns.received(self)
 
@@ -166,7 +168,7 @@
         self._reading.resume(self.transport, PauseReason.TURN)
 
     def _report_received(self) -> None:
-        self.holder.set(HeldKind.PARTIAL_MESSAGE, len(self.reader.buffer))
+        self.holder.set_roughly(HeldKind.PARTIAL_MESSAGE, len(self.reader.buffer))
 
     def _report_partial(self) -> None:
         """Report the message in progress; a large one may be given up if memory is short."""
@@ -281,8 +283,8 @@
         return self.reader.has_partial and now - self._received_at_ms <= since_ms
 
     def client_has_left(self) -> bool:
-        """Whether the client has closed or reset the connection, which may not have been read yet."""
-        return peer_has_left(self.transport)
+        """Whether the client has closed or reset the connection behind bytes that were not read yet."""
+        return (self._may_be_behind or self._reading.is_paused) and peer_has_left(self.transport)
 
     # Writing.
 
@@ -311,7 +313,7 @@
 
     def _set_unsent(self, unsent_bytes: int) -> None:
         self.unsent_bytes = unsent_bytes
-        self.holder.set(HeldKind.UNSENT_ANSWER, unsent_bytes)
+        self.holder.set_roughly(HeldKind.UNSENT_ANSWER, unsent_bytes)
 
     def _request_ended(self) -> None:
         if not self.requests and not self.closing:
--- a/decklb/net/engine_connection.py
+++ b/decklb/net/engine_connection.py
@@ -128,7 +128,7 @@
     def _report_held(self) -> None:
         """Report the bytes that the engine has not received, and those of results that are not complete."""
         received = len(self._reader.buffer) + self._result_bytes
-        self._holder.set(HeldKind.ENGINE, 0 if self.closed else self._unsent_bytes + received)
+        self._holder.set_roughly(HeldKind.ENGINE, 0 if self.closed else self._unsent_bytes + received)
 
     def _remove_call(self, call: RespCall) -> bool:
         """Remove an attempt that is over here; returns whether it was open."""
--- a/decklb/pg/connection.py
+++ b/decklb/pg/connection.py
@@ -39,7 +39,7 @@
     startup_reply,
 )
 from decklb.wire.client_timeouts import FIRST_MESSAGE_TIMEOUT_MS, LINGERING_CLOSE_TIMEOUT_MS, PARTIAL_MESSAGE_TIMEOUT_MS
-from decklb.wire.connection_end import peer_has_left
+from decklb.wire.connection_end import RECEIVE_BYTES, peer_has_left
 from decklb.wire.input_turns import InputTurns
 from decklb.wire.memory_log import MemoryLog
 from decklb.wire.partial_messages import PartialMessages
@@ -91,6 +91,7 @@
         self._holder = context.account.holder("session")
         self.turn: Turn[ClientConnection] = Turn(self)
         self._reading = ReadingSwitch()
+        self._may_be_behind = False  # the last receipt may have left bytes unread
         self._message_completed = False  # since the last turn began
         self._pending: deque[pg.Message] = deque()
         self._pending_bytes = 0
@@ -115,6 +116,7 @@
         """Handle a chunk of the byte stream, which may contain any part of a message."""
         if self._closed:  # read and discarded: closing with unread bytes would send a reset
             return
+        self._may_be_behind = len(data) >= RECEIVE_BYTES
         self._reader.append(data)
         self._context.turns.received(self)
 
@@ -264,8 +266,8 @@
             self.write(pg.pack_parameter_status(IDEMPOTENCY_KEY_PARAMETER, request.idempotency_key))
 
     def client_has_left(self) -> bool:
-        """Whether the client has closed or reset the connection, which may not have been read yet."""
-        return peer_has_left(self.transport)
+        """Whether the client has closed or reset the connection behind bytes that were not read yet."""
+        return (self._may_be_behind or self._reading.is_paused) and peer_has_left(self.transport)
 
     def requeue(self, message: pg.Message) -> None:
         """Handle this message again before any other."""
--- a/decklb/wire/connection_end.py
+++ b/decklb/wire/connection_end.py
@@ -27,6 +27,9 @@
         return error.errno in RETRYABLE_ERRNOS and error.errno != EAGAIN
 
 
+RECEIVE_BYTES = 65_536  # that the transport reads at once; a shorter read has left nothing unread
+
+
 def peer_has_left(transport: Any) -> bool:
     """Whether the peer has closed or reset the connection, even if bytes that it sent before are unread."""
     poller = select.poll()
--- a/decklb/wire/reading_switch.py
+++ b/decklb/wire/reading_switch.py
@@ -19,6 +19,11 @@
     def __init__(self) -> None:
         self._reasons: set[PauseReason] = set()
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether the connection is not read."""
+        return bool(self._reasons)
+
     def pause(self, transport: Any, reason: PauseReason) -> bool:
         """Pause reading for a reason; returns whether the reason is new."""
         if reason in self._reasons:
--- a/tests/test_input_turns.py
+++ b/tests/test_input_turns.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -179,3 +181,24 @@
     front.end_attempts(result=pg.pack_command_complete("SELECT 0"))
     front.clock.advance(50)
     assert message_types(session) == "C" + "Z" * (messages + 1)
+
+
+def test_no_attempt_starts_for_a_client_whose_reset_lies_behind_unread_bytes():
+    front = Front()
+    client = front.connect()
+    near, far = socket.socketpair()
+    client.transport.fileno = near.fileno
+    data = b"".join(request(stream, b"x" * 7000) for stream in range(1, 12))
+    client.dataReceived(data)  # more than is read at once, so more may lie behind it
+    far.close()
+    front.clock.advance(50)
+    assert front.engines.attempts == []
+    assert front.dispatcher.open_requests == 0
+    near.close()
+
+
+def test_a_client_that_half_closes_with_nothing_unread_is_noticed_by_reading_only():
+    front = Front()
+    client = front.connect()
+    client.dataReceived(request(1, b"x"))
+    assert not client.client_has_left()
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -7,6 +7,7 @@
 from decklb.core.memory_account import (
     MARKS,
     REQUEST_OVERHEAD_BYTES,
+    ROUGH_BYTES,
     SMALL_MESSAGE_BYTES,
     HeldKind,
     MemoryAccount,
@@ -75,3 +76,13 @@
     for number in range(5):
         account.holder(str(number)).set(HeldKind.UNSENT_ANSWER, 10 * (number + 1))
     assert [holder.name for holder in account.largest(2)] == ["4", "3"]
+
+
+@given(st.lists(st.integers(0, 20_000), max_size=50))
+def test_roughly_set_amounts_are_never_above_what_is_held_and_at_most_a_little_below(amounts):
+    account = MemoryAccount(LIMIT)
+    holder = account.holder("a")
+    for amount in [*amounts, 0]:
+        holder.set_roughly(HeldKind.ENGINE, amount)
+        assert amount - ROUGH_BYTES < account.total <= amount
+    assert account.total == 0
