--- a/decklb/net/client_connection.py
+++ b/decklb/net/client_connection.py
@@ -75,7 +75,7 @@
         self.turn: Turn[ClientConnection] = Turn(self)
         self._reading = ReadingSwitch()
         self._received_at_ms = 0.0  # time of the last receipt
-        self._may_be_behind = False  # the last receipt may have left bytes unread
+        self._may_be_behind = False  # bytes, or the client's close, may be unread: until a receipt leaves nothing
         self._paused_at_ms: float | None = None  # since when its input waits
         self._paused_ms = 0.0  # for which the message in progress waited unread
         self._message_completed = False  # since the last turn began
@@ -157,6 +157,7 @@
     def _pause_for_turn(self) -> None:
         if self._paused_at_ms is None:
             self._paused_at_ms = self.listener.dispatcher.clock.now()
+        self._may_be_behind = True
         self._reading.pause(self.transport, PauseReason.TURN)
 
     def _resume_after_turn(self) -> None:
@@ -284,7 +285,7 @@
 
     def client_has_left(self) -> bool:
         """Whether the client has closed or reset the connection behind bytes that were not read yet."""
-        return (self._may_be_behind or self._reading.is_paused) and peer_has_left(self.transport)
+        return self._may_be_behind and peer_has_left(self.transport)
 
     # Writing.
 
@@ -308,6 +309,7 @@
             self._pause_reading_for_memory()
 
     def _pause_reading_for_memory(self) -> None:
+        self._may_be_behind = True
         if self._reading.pause(self.transport, PauseReason.MEMORY):
             self.listener.memory_log.reading_paused(self.holder)
 
--- a/decklb/pg/connection.py
+++ b/decklb/pg/connection.py
@@ -91,7 +91,7 @@
         self._holder = context.account.holder("session")
         self.turn: Turn[ClientConnection] = Turn(self)
         self._reading = ReadingSwitch()
-        self._may_be_behind = False  # the last receipt may have left bytes unread
+        self._may_be_behind = False  # bytes, or the client's close, may be unread: until a receipt leaves nothing
         self._message_completed = False  # since the last turn began
         self._pending: deque[pg.Message] = deque()
         self._pending_bytes = 0
@@ -149,6 +149,7 @@
         """A turn is over: report what is held, and read on unless there is input that waits."""
         if waiting:
             self._report_received()
+            self._may_be_behind = True
             self._reading.pause(self.transport, PauseReason.TURN)
             return
         self._reading.resume(self.transport, PauseReason.TURN)
@@ -197,6 +198,7 @@
             self._pause_reading_for_memory()
 
     def _pause_reading_for_memory(self) -> None:
+        self._may_be_behind = True
         if self._reading.pause(self.transport, PauseReason.MEMORY):
             self._context.memory_log.reading_paused(self._holder)
 
@@ -267,7 +269,7 @@
 
     def client_has_left(self) -> bool:
         """Whether the client has closed or reset the connection behind bytes that were not read yet."""
-        return (self._may_be_behind or self._reading.is_paused) and peer_has_left(self.transport)
+        return self._may_be_behind and peer_has_left(self.transport)
 
     def requeue(self, message: pg.Message) -> None:
         """Handle this message again before any other."""
--- a/tests/test_input_turns.py
+++ b/tests/test_input_turns.py
@@ -197,6 +197,23 @@
     near.close()
 
 
+@pytest.mark.parametrize("kind", ["platform", "postgres"])
+def test_no_attempt_starts_for_a_client_that_left_while_its_input_waited_for_a_turn(kind):
+    front = Front(kind)
+    client = front.connect() if kind == "platform" else front.session()
+    near, far = socket.socketpair()
+    client.transport.fileno = near.fileno
+    turns = front.listener.turns
+    turns._spent_ms, turns._pass_began_ms = 2 * PASS_BUDGET_MS, front.clock.now()
+    client.dataReceived(request(1, b"x") if kind == "platform" else pg.pack(b"Q", b"select 1\0"))
+    assert not client.transport.reading
+    far.close()
+    front.clock.advance(50)
+    assert client.transport.reading
+    assert front.engines.attempts == []
+    near.close()
+
+
 def test_a_client_that_half_closes_with_nothing_unread_is_noticed_by_reading_only():
     front = Front()
     client = front.connect()
