--- a/decklb/wire/connection_end.py
+++ b/decklb/wire/connection_end.py
@@ -27,6 +27,7 @@
         return error.errno in RETRYABLE_ERRNOS and error.errno != EAGAIN
 
 
+ENDED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 RECEIVE_BYTES = 65_536  # that the transport reads at once; a shorter read has left nothing unread
 
 
@@ -35,7 +36,7 @@
     poller = select.poll()
     try:
         poller.register(transport.getHandle(), select.POLLRDHUP)  # errors and resets are always reported
-        return bool(poller.poll(0))
+        return any(events & ENDED_EVENTS for _, events in poller.poll(0))
     except (OSError, ValueError):  # a shortage, or a socket that is closed already and whose end is noticed otherwise
         return False
 
