--- a/tests/test_crowd_runs.py
+++ b/tests/test_crowd_runs.py
@@ -70,7 +70,7 @@
     assert not findings(record(usual=lost((10.8, 12.0)), terminated_at=[10.0]))
     assert findings(record(usual=lost((10.6, 12.0)), terminated_at=[10.0]))
     assert findings(record(usual=lost((20.0, 21.0)), terminated_at=[10.0], killed_at=[15.0]))
-    assert not findings(record(usual=lost((10.6, 10.65)), terminated_at=[10.0]))
+    assert not findings(record(usual=lost((10.6, 10.649)), terminated_at=[10.0]))
     assert findings(record(usual=lost((10.6, 10.66)), terminated_at=[10.0]))
     assert findings(record(usual=lost((9.9, 9.95)), terminated_at=[10.0]))
     assert findings(record(usual=lost((20.0, 20.01)), terminated_at=[10.0], killed_at=[15.0]))
