Turns: cost by size, and a drain waits for queries whose turn has not come

Cause: the order of turns used measured times, so a connection paid for a stall of the process in its turn for seconds.

--- a/decklb/net/client_connection.py
+++ b/decklb/net/client_connection.py
@@ -73,6 +73,7 @@
         self.over_limit = False  # accepted beyond the limit: its requests are rejected
         self.reader = frames.FrameReader()
         self.turn: Turn[ClientConnection] = Turn(self)
+        self.handled_bytes = 0
         self._reading = ReadingSwitch()
         self._received_at_ms = 0.0  # time of the last receipt
         self._may_be_behind = False  # bytes, or the client's close, may be unread: until a receipt leaves nothing
@@ -131,6 +132,7 @@
         if frame is None:
             return False
         self._message_completed = True
+        self.handled_bytes = len(frame.payload)
         self._report_received()
         self._handle(frame)
         return bool(self.reader.buffer)
--- a/decklb/pg/connection.py
+++ b/decklb/pg/connection.py
@@ -90,6 +90,7 @@
         self._reader = pg.MessageReader(context.session_context.postgres.max_message_bytes, startup=True)
         self._holder = context.account.holder("session")
         self.turn: Turn[ClientConnection] = Turn(self)
+        self.handled_bytes = 0
         self._reading = ReadingSwitch()
         self._may_be_behind = False  # bytes, or the client's close, may be unread: until a receipt leaves nothing
         self._message_completed = False  # since the last turn began
@@ -128,6 +129,7 @@
             if self._can_handle_pending:
                 self._handle_pending()
             else:
+                self.handled_bytes = 0
                 message = self._reader.next_message()
                 if message is None:
                     return False
@@ -166,6 +168,8 @@
             self._cancel_timer()
         elif message_completed or self._timer is None:
             self._start_timer(PARTIAL_MESSAGE_TIMEOUT_MS, self._message_timed_out)
+        if message_completed:
+            self.end_if_draining()
 
     def _add_pending(self, message: pg.Message) -> None:
         if not self._context.account.admits(len(message.raw)):
@@ -234,6 +238,7 @@
     def _handle_pending(self) -> None:
         """Handle the message that has waited longest."""
         message = self._next_pending()
+        self.handled_bytes = len(message.raw)
         assert self._session is not None
         try:
             self._session.receive(message)
@@ -335,7 +340,8 @@
 
     def end_if_draining(self) -> None:
         """While the program drains, end the session as soon as no statement runs or waits."""
-        if self._registry.draining and self._running is None and not self._pending and not self._closed:
+        idle = self._running is None and not (self._pending or self.turn.waiting)
+        if self._registry.draining and idle and not self._closed:
             text = "the workload manager is shutting down"
             self._end_with_error(PgError(sqlstate.ADMIN_SHUTDOWN, text, fatal=True))
 
--- a/decklb/wire/input_turns.py
+++ b/decklb/wire/input_turns.py
@@ -23,7 +23,10 @@
 PASS_LENGTH_MS = 6.0
 # ms after which it is tried again whether large messages may be received.
 RECEIVE_RETRY_MS = 1.0
-# Smallest cost of a message in ms, for clocks that do not resolve it.
+# Cost of a turn in the order of turns: of a message, and of each 4 KB of it.
+MESSAGE_COST = 1.0
+BYTES_OF_MESSAGE_COST = 4096
+# Smallest time of a message in ms, for clocks that do not resolve it.
 MIN_COST_MS = 0.01
 
 
@@ -31,6 +34,7 @@
     """A connection with received input."""
 
     turn: Turn[Any]
+    handled_bytes: int  # size of the message that was handled last
 
     @property
     def is_receiving_large(self) -> bool:
@@ -92,9 +96,9 @@
         """Handle one message; returns whether there may be another, and the time in ms."""
         more = connection.handle_next()
         now = self._clock.now()
-        cost = max(MIN_COST_MS, now - began_ms)
-        self._spent_ms += cost
-        self._turns.end(connection.turn, cost)
+        self._spent_ms += max(MIN_COST_MS, now - began_ms)
+        # By size: a measured cost would make a connection pay for a stall of the process in its turn.
+        self._turns.end(connection.turn, MESSAGE_COST + connection.handled_bytes / BYTES_OF_MESSAGE_COST)
         connection.turn.start = connection.turn.finish
         return more, now
 
--- a/tests/test_input_turns.py
+++ b/tests/test_input_turns.py
@@ -58,6 +58,7 @@
     def __init__(self, clock, log, name, messages, cost_ms):
         self.clock, self.log, self.name, self.messages, self.cost_ms = clock, log, name, messages, cost_ms
         self.turn, self.paused, self.is_receiving_large = Turn(self), False, False
+        self.handled_bytes = 0
         self.resumed = []  # names of the connections that are read on, in order
 
     def handle_next(self):
@@ -93,6 +94,21 @@
     assert turns.cut_short > 0
 
 
+def test_a_stall_in_the_turn_of_a_connection_does_not_keep_it_waiting_afterwards():
+    clock, log = TestClock(), []
+    turns = InputTurns(clock)
+    floods = [Connection(clock, log, "flood", 500, 0.3) for _ in range(20)]
+    usual = Connection(clock, log, "usual", 1, 500.0)
+    turns.received(usual)
+    for flood in floods:
+        turns.received(flood)
+    usual.messages, usual.cost_ms = 1, 0.3
+    turns.received(usual)
+    del log[:]
+    clock.clock.advance(0)
+    assert log.index("usual") < 4 * len(floods)
+
+
 def test_of_many_large_messages_the_first_are_received_first():
     clock, resumed = TestClock(), []
     turns = InputTurns(clock)
@@ -173,6 +189,17 @@
     assert answers(client) == [(1, frames.SERVED)]
 
 
+def test_a_drain_ends_a_session_only_after_the_query_that_waits_for_its_turn():
+    front = Front("postgres")
+    session = front.session()
+    turns = front.listener.turns
+    turns._spent_ms, turns._pass_began_ms = 2 * PASS_BUDGET_MS, front.clock.now()
+    session.dataReceived(pg.pack(b"Q", b"select 1\0"))
+    front.listener.drain()
+    front.end_attempts(result=pg.pack_command_complete("SELECT 0"))
+    assert message_types(session) == "CZE"
+
+
 @pytest.mark.parametrize("messages", [40, 200])
 def test_the_messages_of_a_session_are_handled_in_order(messages):
     front = Front("postgres")
