Turns: a connection that had no input before comes first, once

As in RFC 8290 a flow that was empty gets one turn before those that always have input; every fifth turn is of the others.

--- a/decklb/wire/input_turns.py
+++ b/decklb/wire/input_turns.py
@@ -80,7 +80,8 @@
             self._part_received(connection)
             return
         if self._spent_ms >= PASS_BUDGET_MS:
-            self._wait(connection)
+            self._turns.add_sparse(connection.turn)
+            self._pause(connection)
             return
         self._turns.begin(connection.turn)
         more = True
--- a/tests/test_input_turns.py
+++ b/tests/test_input_turns.py
@@ -10,7 +10,7 @@
 from test_dispatcher import TestClock
 from test_memory_pressure import Front, answers, message_types
 
-from decklb.core.fair_turns import FairTurns, Turn
+from decklb.core.fair_turns import MAX_SPARSE_IN_A_ROW, FairTurns, Turn
 from decklb.core.memory_account import LARGE_IN_FLIGHT_BYTES
 from decklb.net import frames
 from decklb.net.client_connection import MAX_INPUT_WAIT_MS, MAX_INVALID_FRAMES, MAX_INVALID_REQUESTS
@@ -52,6 +52,23 @@
     assert passed_by <= floods - rounds % floods  # those that have not had the current round
 
 
+@given(st.integers(1, 60), st.integers(1, 60))
+def test_sparse_connections_come_first_but_keep_nobody_from_a_turn(floods, sparse):
+    turns, order = FairTurns(), []
+    for number in range(floods):
+        turns.add(Turn(f"flood {number}"))
+    for number in range(sparse):
+        turns.add_sparse(Turn(f"sparse {number}"))
+    while turns:
+        turn = turns.next()
+        turns.end(turn, 1.0)
+        order.append(turn.owner.split()[0])
+    last = max(position for position, owner in enumerate(order) if owner == "sparse")
+    assert last <= sparse + sparse // MAX_SPARSE_IN_A_ROW
+    assert "flood" in order[: MAX_SPARSE_IN_A_ROW + 1]
+    assert len(order) == floods + sparse
+
+
 class Connection:
     """A connection with a number of messages, each of which takes some ms."""
 
