--- a/review/rig2/fleet.py
+++ b/review/rig2/fleet.py
@@ -10,23 +10,24 @@
 from review.rig2.case import ROOT, Case, CannotRunError
 from review.rig2.postgres import Engine
 from review.rig2.process import Process, manager
-from review.rig2.settings import CLASSES, settings
+from review.rig2.settings import settings
 
 LONGEST_S, LINGER_S, SLACK_S = 20.0, 5.0, 0.5
 RECORD_LIFETIME_S = (LONGEST_S + LINGER_S + SLACK_S) * 1.01
 
 MORE = """<cluster name="reportes" bind="{bind}" advertise="{advertise}" keys="keys.json">{seeds}</cluster>
-  <handoff members="3" longest="20s" {handoff}/>"""
+  <handoff members="{members}" longest="20s"{data}/>"""
 
 
 class Fleet:
-    """Three managers on hosts of their own, so that the proxy can tell their connections apart."""
+    """Managers on hosts of their own, so that the proxy can tell their connections apart."""
 
     def __init__(
-        self, case: Case, engines: list[Engine], *, handoff: str = "", classes: str = CLASSES, cores: int = 8
+        self, case: Case, engines: list[Engine], *, data: bool = False, cores: int = 8, members: int = 3
     ) -> None:
-        self.case, self.engines, self.handoff, self.classes, self.cores = case, engines, handoff, classes, cores
-        self.names = [f"reportes-{i}" for i in (1, 2, 3)]
+        """With `data` the members keep their records on disk."""
+        self.case, self.engines, self.data, self.cores = case, engines, data, cores
+        self.names = [f"reportes-{i}" for i in range(1, members + 1)]
         self.managers: dict[str, Process] = {}
         self.ports: dict[str, int] = {}
         self.proxy: NetworkProxy
@@ -52,10 +53,11 @@
                 bind="{}:{}".format(*binds[name]),
                 advertise="{}:{}".format(*self.proxy.advertised[name]),
                 seeds="".join("<seed>{}:{}</seed>".format(*a) for a in self.proxy.advertised.values()),
-                handoff=self.handoff,
+                members=len(self.names),
+                data=f' data="{name}.data"' if self.data else "",
             )
             engines = [(e.name, ("127.0.0.1", e.port)) for e in self.engines]
-            path.write_text(settings(name, engines, classes=self.classes, more=more, cores=self.cores))
+            path.write_text(settings(name, engines, more=more, cores=self.cores))
             self.managers[name] = manager(self.case, name, DECKLB_SETTINGS=path)
         await asyncio.gather(*(self.start_manager(name) for name in self.names))
 
@@ -65,7 +67,7 @@
         self._last_start_s = time.monotonic()
 
     async def wait_until_members_vote(self) -> None:
-        """A member that started without `data` votes once it remembers longer than any record lives."""
+        """A member whose memory is new votes once it remembers longer than any record lives."""
         wait_s = self._last_start_s + RECORD_LIFETIME_S + 0.5 - time.monotonic()
         self.case.record.write(f"waits {wait_s:.1f} s until all members vote")
         await asyncio.sleep(max(0.0, wait_s))
--- a/review/rig2/postgres.py
+++ b/review/rig2/postgres.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import re
+import socket
 import struct
 import time
 from collections.abc import Awaitable, Callable
@@ -22,10 +23,16 @@
 
 def rows(values: list[str]) -> bytes:
     """Return a result of one text column."""
-    out = pack(b"T", b"\0\1v\0" + struct.pack(">ihihih", 0, 0, 25, -1, -1, 0))
-    for value in values:
-        out += pack(b"D", struct.pack(">hi", 1, len(value.encode())) + value.encode())
-    return out + pack(b"C", f"SELECT {len(values)}\0".encode())
+    out = [pack(b"T", b"\0\1v\0" + struct.pack(">ihihih", 0, 0, 25, -1, -1, 0))]
+    out += [pack(b"D", struct.pack(">hi", 1, len(value.encode())) + value.encode()) for value in values]
+    return b"".join(out) + pack(b"C", f"SELECT {len(values)}\0".encode())
+
+
+def without_description(answer: bytes) -> bytes:
+    """Return a result without its RowDescription, as Execute returns it."""
+    if answer[:1] != b"T":
+        return answer
+    return answer[1 + struct.unpack(">I", answer[1:5])[0] :]
 
 
 def error(code: str, text: str) -> bytes:
@@ -87,6 +94,8 @@
             self._count += 1
             key = struct.pack(">II", self._count, 4711 + self._count)
             writer.write(pack(b"R", b"\0\0\0\0") + pack(b"K", key) + READY)
+            prepared: dict[bytes, str] = {}
+            bound, described, out = "", False, b""
             while (kind := await reader.readexactly(1)) != b"X":
                 (size,) = struct.unpack(">I", await reader.readexactly(4))
                 body = await reader.readexactly(size - 4)
@@ -97,8 +106,20 @@
                         writer.transport.abort()
                         return
                     writer.write(answer + READY)
+                elif kind == b"P":
+                    name, _, rest = body.partition(b"\0")
+                    prepared[name], out = rest.partition(b"\0")[0].decode(), out + pack(b"1")
+                elif kind == b"B":
+                    name = body.split(b"\0")[1]
+                    bound, described, out = prepared[name], False, out + pack(b"2")
+                elif kind == b"D":
+                    described = True
+                elif kind == b"E":
+                    execution, answer = await self._execute(bound, key)
+                    out += without_description(answer) if not described else answer
                 elif kind == b"S":
-                    writer.write(READY)
+                    writer.write(out + READY)
+                    out = b""
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
@@ -139,15 +160,22 @@
 class Client:
     """A client's session."""
 
-    def __init__(self, port: int) -> None:
-        self.port = port
+    def __init__(self, port: int, receive_buffer: int = 0) -> None:
+        """`receive_buffer`: size of the socket's receive buffer, 0 for the usual one."""
+        self.port, self._receive_buffer = port, receive_buffer
         self.key = b""
         self._reader: asyncio.StreamReader
         self._writer: asyncio.StreamWriter
 
     async def connect(self, **parameters: str) -> Client:
         """Open the session; parameters with a dot go into the options of the startup message."""
-        self._reader, self._writer = await asyncio.open_connection("127.0.0.1", self.port, limit=1 << 22)
+        connection = socket.socket()
+        if self._receive_buffer:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_buffer)
+        connection.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(connection, ("127.0.0.1", self.port))
+        limit = self._receive_buffer or 1 << 22
+        self._reader, self._writer = await asyncio.open_connection(sock=connection, limit=limit)
         options = " ".join(f"-c {name}={value}" for name, value in parameters.items())
         body = b"user\0reportes\0options\0" + options.encode() + b"\0\0"
         self._writer.write(struct.pack(">II", 8 + len(body), 196_608) + body)
@@ -161,6 +189,29 @@
         self._writer.write(pack(b"Q", sql.encode() + b"\0"))
         return await self._until_ready()
 
+    def send_query(self, sql: str) -> None:
+        """Send a statement without waiting for its answer."""
+        self._writer.write(pack(b"Q", sql.encode() + b"\0"))
+
+    async def next_answer(self) -> Answer:
+        """Return the next final answer."""
+        return await self._until_ready()
+
+    def pause(self) -> None:
+        """Read nothing any more."""
+        self._writer.transport.pause_reading()  # type: ignore[attr-defined]
+
+    def resume(self) -> None:
+        """Read on."""
+        self._writer.transport.resume_reading()  # type: ignore[attr-defined]
+
+    async def extended(self, sql: str, describe: bool) -> Answer:
+        """Run a statement without parameters by the extended query protocol, with or without Describe."""
+        out = pack(b"P", b"\0" + sql.encode() + b"\0\0\0") + pack(b"B", b"\0\0" + 3 * b"\0\0")
+        out += pack(b"D", b"P\0") if describe else b""
+        self._writer.write(out + pack(b"E", b"\0" + 4 * b"\0") + pack(b"S"))
+        return await self._until_ready()
+
     async def cancel(self) -> None:
         """Send a CancelRequest for this session, and wait until it was read."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
@@ -172,6 +223,10 @@
         """Close the connection."""
         self._writer.close()
 
+    def abort(self) -> None:
+        """Reset the connection."""
+        self._writer.transport.abort()
+
     async def _until_ready(self) -> Answer:
         answer = Answer([])
         try:
