--- a/review/rig2/fleet.py
+++ b/review/rig2/fleet.py
@@ -7,7 +7,7 @@
 
 from decklb.lab.faults import free_ports
 from decklb.lab.faults.network_proxy import NetworkProxy
-from review.rig2.case import ROOT, Case, CannotRunError
+from review.rig2.case import ROOT, CannotRunError, Case
 from review.rig2.postgres import Engine
 from review.rig2.process import Process, manager
 from review.rig2.settings import settings
--- a/review/rig2/postgres.py
+++ b/review/rig2/postgres.py
@@ -57,8 +57,10 @@
     As on a real engine an execution goes on when its connection ends, and ends early when it is cancelled.
     """
 
-    def __init__(self, case: Case, name: str) -> None:
-        self.case, self.name = case, name
+    def __init__(self, case: Case, name: str, late_s: float = 0.0) -> None:
+        """`late_s`: after which time a new connection is read for the first time."""
+        self.case, self.name, self._late_s = case, name, late_s
+        self.sessions = 0  # connections so far
         self.executions: list[Execution] = []
         self.answer: Callable[[str], bytes] = lambda sql: rows([f"{self.name}: {sql[:60]}"])
         # Called after an execution; returns whether its connection is to be reset instead of answered.
@@ -80,7 +82,9 @@
             self._server.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.sessions += 1
         try:
+            await asyncio.sleep(self._late_s)
             while True:
                 size, code = struct.unpack(">II", await reader.readexactly(8))
                 body = await reader.readexactly(size - 8)
--- a/review/rig2/settings.py
+++ b/review/rig2/settings.py
@@ -5,7 +5,7 @@
 CLASSES = """
     <class name="consulta" aim="1s" stretch="2.0" deadline="5s" worth="1" semantics="idempotent" threads="1"/>
     <class name="informe" aim="2s" stretch="2.5" deadline="20s" worth="6" late-worth="0.4" semantics="idempotent" threads="1"/>
-    <class name="carga" aim="3s" stretch="3.0" deadline="20s" worth="4" late-worth="0.5" semantics="at_most_once" threads="1"/>"""
+    <class name="carga" aim="3s" stretch="3.0" deadline="20s" worth="4" late-worth="0.5" semantics="at_most_once" serial-by-key="true" threads="1"/>"""
 
 TEMPLATE = """<decklb version="1">
   <process name="{name}" listen="127.0.0.1:0" sockets="1024"/>
